--- a/call/call.go
+++ b/call/call.go
@@ -67,6 +67,8 @@
 	Crashes int
 	// Fingerprint recognises the request when it is sent again.
 	Fingerprint uint64
+	// CallerService is the service of the VM where the request entered; empty when it is not known.
+	CallerService string
 }
 
 // Request is a call with its HTTP request parts.
@@ -74,7 +76,9 @@
 	Context
 	Method string
 	// Target is the path with the query, as the caller sent it.
-	Target        string
+	Target string
+	// Host is empty where routes do not depend on it.
+	Host          string
 	Header        http.Header
 	Body          io.Reader
 	ContentLength int64
--- a/call/refusal.go
+++ b/call/refusal.go
@@ -50,6 +50,7 @@
 	CodeQuarantined        Code = "quarantined"
 	CodeNoUpstream         Code = "no_upstream"
 	CodeUpstreamFailed     Code = "upstream_failed"
+	CodeUpstreamRefused    Code = "upstream_refused"
 	CodePeerFailed         Code = "peer_failed"
 	CodeUnauthenticated    Code = "unauthenticated"
 	CodeWrongIncarnation   Code = "wrong_incarnation"
@@ -78,6 +79,7 @@
 	CodeQuarantined:        http.StatusUnprocessableEntity,
 	CodeNoUpstream:         http.StatusServiceUnavailable,
 	CodeUpstreamFailed:     http.StatusBadGateway,
+	CodeUpstreamRefused:    http.StatusServiceUnavailable,
 	CodePeerFailed:         http.StatusBadGateway,
 	CodeUnauthenticated:    http.StatusForbidden,
 	CodeWrongIncarnation:   http.StatusServiceUnavailable,
--- a/cmd/cowslipctl/ctl_test.go
+++ b/cmd/cowslipctl/ctl_test.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipglade/cowslipglade/internal/settings"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/node"
-	"github.com/cowslipglade/cowslipglade/platform"
 	"github.com/cowslipglade/cowslipglade/upstream"
 )
 
@@ -29,7 +29,7 @@
 const testToken = "a-token-of-the-operators"
 
 // startNode starts one node on loopback over the store.
-func startNode(store platform.Store) (*node.Node, *settings.Node, error) {
+func startNode(store kvstore.Store) (*node.Node, *settings.Node, error) {
 	s := settings.DefaultNode()
 	s.Name, s.FailureDomain, s.FailureDomains, s.Region = "vm-1", "fd-1", []string{"fd-1", "fd-2"}, "test"
 	for _, address := range []*string{&s.CallerAddress, &s.LocalAddress, &s.PeerAddress} {
@@ -47,7 +47,7 @@
 }
 
 func setup(env *testscript.Env) error {
-	store := platform.NewMemory(time.Now)
+	store := kvstore.NewMemory(time.Now)
 	n, s, err := startNode(store)
 	if err != nil {
 		return err
@@ -84,7 +84,7 @@
 
 // platformState up|down|lose COUNT sets the state of the platform.
 func platformState(ts *testscript.TestScript, _ bool, args []string) {
-	store := ts.Value("store").(*platform.Memory)
+	store := ts.Value("store").(*kvstore.Memory)
 	if args[0] == "lose" {
 		count, err := strconv.Atoi(args[1])
 		ts.Check(err)
@@ -97,7 +97,7 @@
 // owner SHARD NODE writes the owner of a quota shard, as a node that has died would have left it.
 func owner(ts *testscript.TestScript, _ bool, args []string) {
 	record := fmt.Sprintf(`{"node":%q,"incarnation":1,"address":"127.0.0.1:1"}`, args[1])
-	_, err := ts.Value("store").(*platform.Memory).CompareAndSwap(context.Background(), "quota/owner/"+args[0], 0, []byte(record), platform.NoLease)
+	_, err := ts.Value("store").(*kvstore.Memory).CompareAndSwap(context.Background(), "quota/owner/"+args[0], 0, []byte(record), kvstore.NoLease)
 	ts.Check(err)
 }
 
--- a/cmd/cowslipd/main.go
+++ b/cmd/cowslipd/main.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipglade/cowslipglade/internal/settings"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/node"
-	"github.com/cowslipglade/cowslipglade/platform"
 )
 
 // Exit codes.
@@ -76,10 +76,10 @@
 
 // serve runs the node until SIGTERM or SIGINT. SIGHUP rereads the secrets.
 func serve(opts *options, s *settings.Node, log zerolog.Logger) error {
-	etcd := platform.DefaultEtcdConfig()
+	etcd := kvstore.DefaultEtcdConfig()
 	etcd.Endpoints = s.PlatformEndpoints
 	etcd.LocalAddress = s.PeerIP()
-	store, err := platform.NewEtcd(etcd)
+	store, err := kvstore.NewEtcd(etcd)
 	if err != nil {
 		return err
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cowslipglade/cowslipglade/call"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 var ctx = context.Background()
@@ -166,7 +166,7 @@
 // Guards against a log that grows without limit, a writer that fills a deleted revision, and a start
 // that needs the whole log.
 func TestCompactAndRetention(t *testing.T) {
-	store := platform.NewMemory(time.Now)
+	store := kvstore.NewMemory(time.Now)
 	w := Writer{store}
 	d, old := NewDocument(), NewDocument()
 	for i := range 250 {
@@ -200,7 +200,7 @@
 
 // Guards against a commit that reports an outcome that it cannot know.
 func TestCommitOutages(t *testing.T) {
-	store := platform.NewMemory(time.Now)
+	store := kvstore.NewMemory(time.Now)
 	w := Writer{store}
 	store.SetDown(true)
 	_, _, err := w.Commit(ctx, NewDocument(), workspace("1", "a", 0))
@@ -240,7 +240,7 @@
 // after lost answers, lost requests and repeats from several nodes.
 func TestWritersRace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := platform.NewMemory(time.Now)
+		store := kvstore.NewMemory(time.Now)
 		store.LoseAnswers(rapid.IntRange(0, 4).Draw(t, "lost answers"))
 		store.LoseRequests(rapid.IntRange(0, 2).Draw(t, "lost requests"))
 		store.LateWrites(rapid.IntRange(0, 3).Draw(t, "late writes"))
--- a/config/document.go
+++ b/config/document.go
@@ -25,6 +25,8 @@
 	// Weight is the share under contention relative to other workspaces.
 	Weight   float64 `json:"weight"`
 	Revision int64   `json:"revision"`
+	// Importance goes before that of routes; nil leaves it to them.
+	Importance *call.Importance `json:"importance,omitempty"`
 }
 
 // Key admits requests of a workspace. The key itself is never stored.
@@ -49,6 +51,29 @@
 	Open     bool          `json:"open,omitempty"`
 	Timeout  time.Duration `json:"timeout"`
 	Revision int64         `json:"revision"`
+	// Host limits the route to requests for one host; empty takes all.
+	Host string `json:"host,omitempty"`
+	// Split, if not empty, goes before Service.
+	Split []SplitPart `json:"split,omitempty"`
+	// MaxAttempts is the number of upstreams that one request may be sent to; 0 leaves it to the rules.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// TargetLatency is the time within which an answer has its full worth; 0 when none is known.
+	TargetLatency time.Duration `json:"target_latency,omitempty"`
+}
+
+// SplitPart is the share of a route's requests that goes to a service.
+type SplitPart struct {
+	Service string `json:"service"`
+	// Weight is relative to the other parts.
+	Weight float64 `json:"weight"`
+}
+
+// Service describes the upstreams of a service.
+type Service struct {
+	// HealthPath answers 200 while an upstream takes work.
+	HealthPath string `json:"health_path,omitempty"`
+	// MaxConnections is what one upstream accepts from all callers together.
+	MaxConnections int `json:"max_connections,omitempty"`
 }
 
 // Rules hold for all routes and workspaces.
@@ -81,6 +106,10 @@
 	// Recent holds the ids of the last MaxRecent changes, oldest first, so that a change that is sent
 	// again is recognised by every node.
 	Recent []RecentChange `json:"recent,omitempty"`
+	// Services is empty where operators describe none.
+	Services map[string]Service `json:"services,omitempty"`
+	// Keyless means that no route needs a key.
+	Keyless bool `json:"keyless,omitempty"`
 }
 
 // RecentChange is a committed change's id with its revision.
--- a/config/store.go
+++ b/config/store.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // Reader reads the configuration from the platform. It is safe for concurrent use.
 type Reader struct {
-	Store platform.Store
+	Store kvstore.Store
 }
 
 // Load returns the newest document: the snapshot and the log after it.
@@ -61,7 +61,7 @@
 		if document, err = DecodeSnapshot(entry.Value); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrLog, err)
 		}
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, kvstore.ErrNotFound):
 		return nil, convert(err)
 	}
 	document, _, err = r.advance(ctx, document)
@@ -101,7 +101,7 @@
 		return false, nil
 	}
 	_, err := r.Store.Get(ctx, LogKey(revision))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -153,7 +153,7 @@
 	return changes, nil
 }
 
-func decodeEntry(entry platform.Entry) (Committed, error) {
+func decodeEntry(entry kvstore.Entry) (Committed, error) {
 	change, err := DecodeCommitted(entry.Value)
 	if err != nil {
 		return Committed{}, fmt.Errorf("%w: %s: %w", ErrLog, entry.Key, err)
@@ -167,7 +167,7 @@
 
 // Writer commits changes. It is safe for concurrent use; writers on any number of nodes may race.
 type Writer struct {
-	Store platform.Store
+	Store kvstore.Store
 }
 
 // Commit appends the change to the log and returns the document and the revision that it has there,
@@ -226,9 +226,9 @@
 		if err == nil {
 			return CommitResult{Document: next, Revision: next.Revision, Changes: append(changes, own)}, nil
 		}
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, kvstore.ErrUnknownOutcome) {
 			sent = true
-		} else if !errors.Is(err, platform.ErrConflict) {
+		} else if !errors.Is(err, kvstore.ErrConflict) {
 			return CommitResult{}, outcome(err, sent)
 		}
 		advanced, taken, err := w.readNext(ctx, document)
@@ -271,7 +271,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.Store.CompareAndSwap(ctx, LogKey(c.Revision), 0, data, platform.NoLease)
+	_, err = w.Store.CompareAndSwap(ctx, LogKey(c.Revision), 0, data, kvstore.NoLease)
 	return err
 }
 
@@ -279,7 +279,7 @@
 // there is none.
 func (w Writer) readNext(ctx context.Context, document *Document) (*Document, Committed, error) {
 	entry, err := w.Store.Get(ctx, LogKey(document.Revision+1))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return document, Committed{}, nil
 	}
 	if err != nil {
@@ -306,7 +306,7 @@
 
 // convert maps platform errors to those of this package and leaves the others as they are.
 func convert(err error) error {
-	for _, known := range []error{platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrNotFound, platform.ErrConflict} {
+	for _, known := range []error{kvstore.ErrUnavailable, kvstore.ErrUnknownOutcome, kvstore.ErrNotFound, kvstore.ErrConflict} {
 		if errors.Is(err, known) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
@@ -321,7 +321,7 @@
 func (w Writer) Compact(ctx context.Context, document *Document) (bool, error) {
 	var snapshotRevision, previous int64
 	entry, err := w.Store.Get(ctx, SnapshotKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return false, convert(err)
 	}
 	if err == nil {
@@ -338,8 +338,8 @@
 	if err != nil {
 		return false, err
 	}
-	_, err = w.Store.CompareAndSwap(ctx, SnapshotKey, previous, data, platform.NoLease)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = w.Store.CompareAndSwap(ctx, SnapshotKey, previous, data, kvstore.NoLease)
+	if errors.Is(err, kvstore.ErrConflict) {
 		return false, nil
 	}
 	if err != nil {
@@ -362,7 +362,7 @@
 	}
 	for _, entry := range entries {
 		err := w.Store.CompareAndDelete(ctx, entry.Key, entry.Revision)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, kvstore.ErrNotFound) && !errors.Is(err, kvstore.ErrConflict) {
 			return convert(err)
 		}
 	}
--- a/internal/emulator/platform/server_test.go
+++ b/internal/emulator/platform/server_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	client "github.com/cowslipglade/cowslipglade/platform"
+	client "github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 // Guards against a watch that silently skips changes which are no longer held.
--- a/internal/faultmatrix/control.go
+++ b/internal/faultmatrix/control.go
@@ -11,7 +11,7 @@
 
 	"github.com/cowslipglade/cowslipglade/admission"
 	"github.com/cowslipglade/cowslipglade/config"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 // pollInterval is how often a node reads the platform, which stands for the watches of cowslipd.
@@ -19,33 +19,33 @@
 
 // platformView is the platform as one process reaches it.
 type platformView struct {
-	platform.Store
+	kvstore.Store
 	p *process
 }
 
 // errCut is what a process sees of a platform that it does not reach.
-var errCut = fmt.Errorf("faultmatrix: cut from platform: %w", platform.ErrUnavailable)
+var errCut = fmt.Errorf("faultmatrix: cut from platform: %w", kvstore.ErrUnavailable)
 
 func (v platformView) cut() bool { return v.p.w.noPlatform[v.p.name] }
 
-// Get implements platform.Store.
-func (v platformView) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (v platformView) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if v.cut() {
-		return platform.Entry{}, errCut
+		return kvstore.Entry{}, errCut
 	}
 	return v.Store.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (v platformView) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+// List implements kvstore.Store.
+func (v platformView) List(ctx context.Context, prefix string) ([]kvstore.Entry, int64, error) {
 	if v.cut() {
 		return nil, 0, errCut
 	}
 	return v.Store.List(ctx, prefix)
 }
 
-// CompareAndSwap implements platform.Store. A racing writer gets its turn before a log entry is made.
-func (v platformView) CompareAndSwap(ctx context.Context, key string, previous int64, value []byte, lease platform.LeaseID) (int64, error) {
+// CompareAndSwap implements kvstore.Store. A racing writer gets its turn before a log entry is made.
+func (v platformView) CompareAndSwap(ctx context.Context, key string, previous int64, value []byte, lease kvstore.LeaseID) (int64, error) {
 	if strings.HasPrefix(key, config.LogPrefix) {
 		v.p.w.reach(ConfigWrite, v.p)
 		if race := v.p.w.race; race != nil {
@@ -59,24 +59,24 @@
 	return v.Store.CompareAndSwap(ctx, key, previous, value, lease)
 }
 
-// GrantLease implements platform.Store.
-func (v platformView) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kvstore.Store.
+func (v platformView) GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	if v.cut() {
 		return 0, errCut
 	}
 	return v.Store.GrantLease(ctx, ttl)
 }
 
-// KeepAlive implements platform.Store.
-func (v platformView) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements kvstore.Store.
+func (v platformView) KeepAlive(ctx context.Context, lease kvstore.LeaseID) error {
 	if v.cut() {
 		return errCut
 	}
 	return v.Store.KeepAlive(ctx, lease)
 }
 
-// RevokeLease implements platform.Store.
-func (v platformView) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+// RevokeLease implements kvstore.Store.
+func (v platformView) RevokeLease(ctx context.Context, lease kvstore.LeaseID) error {
 	if v.cut() {
 		return errCut
 	}
@@ -85,7 +85,7 @@
 
 // onPlatform makes platform calls that take effect after one latency, also when the process stops in
 // the meantime, and passes their result on after another.
-func (p *process) onPlatform(calls func(platform.Store) any, then func(any)) {
+func (p *process) onPlatform(calls func(kvstore.Store) any, then func(any)) {
 	p.w.after(p.w.platformLatency(), func() {
 		result := calls(platformView{p.w.store, p})
 		p.after(p.w.platformLatency(), func() { then(result) })
@@ -100,13 +100,13 @@
 
 func (p *process) commit(change config.Change, done func(commitResult)) {
 	document := p.replica.Document()
-	p.onPlatform(func(s platform.Store) any { return p.write(s, document, change) }, func(result any) {
+	p.onPlatform(func(s kvstore.Store) any { return p.write(s, document, change) }, func(result any) {
 		p.committed(result.(commitResult))
 		done(result.(commitResult))
 	})
 }
 
-func (p *process) write(s platform.Store, document *config.Document, change config.Change) commitResult {
+func (p *process) write(s kvstore.Store, document *config.Document, change config.Change) commitResult {
 	result, err := config.Writer{Store: s}.CommitChanges(context.Background(), document, change)
 	var conflict *config.ConflictError
 	if p.w.switches.FreshBase && errors.As(err, &conflict) {
@@ -215,7 +215,7 @@
 
 func (p *process) poll() {
 	document := p.replica.Document()
-	p.onPlatform(func(s platform.Store) any {
+	p.onPlatform(func(s kvstore.Store) any {
 		newer, changes, err := config.Reader{Store: s}.Advance(context.Background(), document)
 		return commitResult{config.CommitResult{Document: newer, Changes: changes}, err}
 	}, func(result any) {
--- a/internal/faultmatrix/quota.go
+++ b/internal/faultmatrix/quota.go
@@ -10,14 +10,14 @@
 	"strings"
 	"time"
 
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	membershipv1 "github.com/cowslipglade/cowslipglade/rpc/membership/v1"
 )
 
 type ownedShard struct {
 	shard   *ratelimit.Shard
-	lease   platform.LeaseID
+	lease   kvstore.LeaseID
 	term    uint64
 	renewed time.Time
 }
@@ -138,14 +138,14 @@
 	if len(p.owned) >= 1 && p.domainMembers() > 1 || len(p.owned) >= shardsPerDomain {
 		return
 	}
-	p.onPlatform(func(s platform.Store) any {
+	p.onPlatform(func(s kvstore.Store) any {
 		entries, _, err := s.List(context.Background(), p.ownerKey(-1))
 		if err != nil {
 			return []int(nil)
 		}
 		var free []int
 		for number := range shardsPerDomain {
-			if !slices.ContainsFunc(entries, func(e platform.Entry) bool { return e.Key == p.ownerKey(number) }) {
+			if !slices.ContainsFunc(entries, func(e kvstore.Entry) bool { return e.Key == p.ownerKey(number) }) {
 				free = append(free, number)
 			}
 		}
@@ -183,13 +183,13 @@
 	if asked.Sub(s.renewed) < shardRenewal {
 		return
 	}
-	p.onPlatform(func(store platform.Store) any { return store.KeepAlive(context.Background(), s.lease) }, func(result any) {
+	p.onPlatform(func(store kvstore.Store) any { return store.KeepAlive(context.Background(), s.lease) }, func(result any) {
 		err, _ := result.(error)
 		switch {
 		case err == nil:
 			s.shard.Renew(asked, shardLease)
 			s.renewed = asked
-		case errors.Is(err, platform.ErrLeaseExpired):
+		case errors.Is(err, kvstore.ErrLeaseExpired):
 			p.lose(number, s)
 		}
 	})
@@ -213,14 +213,14 @@
 
 // taken is the result of the platform calls that take a shard.
 type taken struct {
-	lease platform.LeaseID
+	lease kvstore.LeaseID
 	term  uint64
 }
 
 // take becomes the owner of a free shard; then, if not nil, is called with the shard or nil.
 func (p *process) take(number int, then func(*ratelimit.Shard)) {
 	asked := p.now()
-	p.onPlatform(func(s platform.Store) any { return p.claim(s, number) }, func(result any) {
+	p.onPlatform(func(s kvstore.Store) any { return p.claim(s, number) }, func(result any) {
 		claimed := result.(taken)
 		if claimed.term == 0 || p.owned[number] != nil {
 			if then != nil {
@@ -259,7 +259,7 @@
 	return shard
 }
 
-func (p *process) claim(s platform.Store, number int) taken {
+func (p *process) claim(s kvstore.Store, number int) taken {
 	ctx := context.Background()
 	lease, err := s.GrantLease(ctx, shardLease)
 	if err != nil {
@@ -267,10 +267,10 @@
 	}
 	record := fmt.Sprintf("%s/%d", p.name, p.incarnation)
 	_, err = s.CompareAndSwap(ctx, p.ownerKey(number), 0, []byte(record), lease)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		var entry platform.Entry
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
+		var entry kvstore.Entry
 		if entry, err = s.Get(ctx, p.ownerKey(number)); err == nil && string(entry.Value) != record {
-			err = platform.ErrConflict
+			err = kvstore.ErrConflict
 		}
 	}
 	term := uint64(0)
@@ -284,14 +284,14 @@
 	return taken{lease, term}
 }
 
-func (p *process) nextTerm(s platform.Store, number int) (uint64, error) {
+func (p *process) nextTerm(s kvstore.Store, number int) (uint64, error) {
 	key := strings.Replace(p.ownerKey(number), "owner", "term", 1)
 	entry, err := s.Get(context.Background(), key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return 0, err
 	}
 	last, _ := strconv.ParseUint(string(entry.Value), 10, 64)
-	_, err = s.CompareAndSwap(context.Background(), key, entry.Revision, []byte(strconv.FormatUint(last+1, 10)), platform.NoLease)
+	_, err = s.CompareAndSwap(context.Background(), key, entry.Revision, []byte(strconv.FormatUint(last+1, 10)), kvstore.NoLease)
 	return last + 1, err
 }
 
@@ -323,7 +323,7 @@
 		s := p.owned[number]
 		delete(p.owned, number)
 		state, open := s.shard.Export(p.now())
-		p.onPlatform(func(store platform.Store) any { return store.RevokeLease(context.Background(), s.lease) }, func(result any) {
+		p.onPlatform(func(store kvstore.Store) any { return store.RevokeLease(context.Background(), s.lease) }, func(result any) {
 			if err, _ := result.(error); err == nil && open {
 				p.step(HandOver, func() { p.handOver(state) })
 			}
--- a/internal/faultmatrix/world.go
+++ b/internal/faultmatrix/world.go
@@ -12,7 +12,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/keys"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	"github.com/cowslipglade/cowslipglade/requestid"
 )
@@ -116,7 +116,7 @@
 	*sim
 	cell     Cell
 	switches Switches
-	store    *platform.Memory
+	store    *kvstore.Memory
 	client   *process
 
 	processes     map[string]*process
@@ -173,7 +173,7 @@
 		messageFaults: map[string][]*messageFault{}, buckets: map[string]*tokenBucket{}, documents: map[int64]uint64{},
 		untrue: map[*call.Refusal]bool{},
 	}
-	w.store = platform.NewMemory(func() time.Time { return w.now })
+	w.store = kvstore.NewMemory(func() time.Time { return w.now })
 	w.client = &process{w: w, name: clientName, alive: true, pending: map[connection][]*pendingCall{}}
 	w.processes[clientName] = w.client
 	if cell.Step != HandOver && cell.Step != Drain {
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -19,7 +19,7 @@
 
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/keys"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	operatorv1 "github.com/cowslipglade/cowslipglade/rpc/operator/v1"
 )
 
@@ -278,9 +278,9 @@
 // shardsOwned checks that every quota shard has an owner, as the owners wrote to the platform.
 func (w *world) shardsOwned(ctx context.Context, plan fleetPlan) error {
 	const shardsPerDomain = 4
-	config := platform.DefaultEtcdConfig()
+	config := kvstore.DefaultEtcdConfig()
 	config.Endpoints = []string{fmt.Sprintf("http://%s:%d", w.platformIP(), portPlatform)}
-	store, err := platform.NewEtcd(config)
+	store, err := kvstore.NewEtcd(config)
 	if err != nil {
 		return err
 	}
--- a/internal/slopes/configuration.go
+++ b/internal/slopes/configuration.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/member"
-	"github.com/cowslipglade/cowslipglade/platform"
 	configurationv1 "github.com/cowslipglade/cowslipglade/rpc/configuration/v1"
 )
 
@@ -143,21 +143,21 @@
 
 // countingStore counts platform calls.
 type countingStore struct {
-	platform.Store
+	kvstore.Store
 	reads, writes int
 }
 
-func (s *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *countingStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	s.reads++
 	return s.Store.Get(ctx, key)
 }
 
-func (s *countingStore) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+func (s *countingStore) List(ctx context.Context, prefix string) ([]kvstore.Entry, int64, error) {
 	s.reads++
 	return s.Store.List(ctx, prefix)
 }
 
-func (s *countingStore) CompareAndSwap(ctx context.Context, key string, previous int64, value []byte, lease platform.LeaseID) (int64, error) {
+func (s *countingStore) CompareAndSwap(ctx context.Context, key string, previous int64, value []byte, lease kvstore.LeaseID) (int64, error) {
 	s.writes++
 	return s.Store.CompareAndSwap(ctx, key, previous, value, lease)
 }
@@ -171,7 +171,7 @@
 func platformCalls(r *recorder) error {
 	const commits = 200
 	ctx := context.Background()
-	store := &countingStore{Store: platform.NewMemory(func() time.Time { return epoch })}
+	store := &countingStore{Store: kvstore.NewMemory(func() time.Time { return epoch })}
 	writer, reader := config.Writer{Store: store}, config.Reader{Store: store}
 	document, watched := config.NewDocument(), config.NewDocument()
 	var err error
@@ -212,7 +212,7 @@
 	for now := epoch; now.Before(epoch.Add(seconds * time.Second)); now = now.Add(tick) {
 		if c := e.Next(now, 0); c.Kind != member.NoCall {
 			calls++
-			e.Result(now, platform.LeaseID(1), nil, nil)
+			e.Result(now, kvstore.LeaseID(1), nil, nil)
 		}
 	}
 	r.add("platform calls of one watcher for its slot", "calls/s", "", 0, float64(calls)/seconds)
--- a/platform/etcd.go
+++ b/kvstore/etcd.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"bytes"
@@ -58,7 +58,7 @@
 // invalid.
 func NewEtcd(config EtcdConfig) (*Etcd, error) {
 	if len(config.Endpoints) == 0 {
-		return nil, errors.New("platform: no endpoints")
+		return nil, errors.New("kvstore: no endpoints")
 	}
 	if config.CallTimeout == 0 {
 		config.CallTimeout = DefaultEtcdConfig().CallTimeout
@@ -67,13 +67,13 @@
 		config.MaxAnswerBytes = DefaultEtcdConfig().MaxAnswerBytes
 	}
 	if config.CallTimeout < 0 || config.MaxAnswerBytes < 0 || config.CallsPerSecond < 0 {
-		return nil, fmt.Errorf("platform: call timeout %v, answer bound %d and calls per second %v must not be negative",
+		return nil, fmt.Errorf("kvstore: call timeout %v, answer bound %d and calls per second %v must not be negative",
 			config.CallTimeout, config.MaxAnswerBytes, config.CallsPerSecond)
 	}
 	endpoints := make([]string, len(config.Endpoints))
 	for i, endpoint := range config.Endpoints {
 		if !strings.HasPrefix(endpoint, "http://") && !strings.HasPrefix(endpoint, "https://") {
-			return nil, fmt.Errorf("platform: endpoint %q is not an http or https URL", endpoint)
+			return nil, fmt.Errorf("kvstore: endpoint %q is not an http or https URL", endpoint)
 		}
 		endpoints[i] = strings.TrimRight(endpoint, "/")
 	}
@@ -165,7 +165,7 @@
 func (e *Etcd) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	if seconds <= 0 {
-		return NoLease, fmt.Errorf("platform: lease time %v is not positive", ttl)
+		return NoLease, fmt.Errorf("kvstore: lease time %v is not positive", ttl)
 	}
 	var answer leaseAnswer
 	if err := e.call(ctx, "/v3/lease/grant", leaseGrantRequest{TTL: int64String(seconds)}, &answer, write); err != nil {
--- a/platform/etcd_test.go
+++ b/kvstore/etcd_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	emulator "github.com/cowslipglade/cowslipglade/internal/emulator/platform"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 type clock struct {
@@ -53,15 +53,15 @@
 	return fixture{server: server, clock: clk, url: listener.URL}
 }
 
-func client(t *testing.T, change func(*platform.EtcdConfig), endpoints ...string) *platform.Etcd {
+func client(t *testing.T, change func(*kvstore.EtcdConfig), endpoints ...string) *kvstore.Etcd {
 	t.Helper()
-	config := platform.DefaultEtcdConfig()
+	config := kvstore.DefaultEtcdConfig()
 	config.CallTimeout = 20 * time.Second
 	config.Endpoints = endpoints
 	if change != nil {
 		change(&config)
 	}
-	store, err := platform.NewEtcd(config)
+	store, err := kvstore.NewEtcd(config)
 	must.NoError(t, err)
 	t.Cleanup(store.Close)
 	return store
@@ -82,23 +82,23 @@
 	ctx := t.Context()
 	store := client(t, nil, start(t, nil).url)
 	_, err := store.Get(ctx, "a/1")
-	must.ErrorIs(t, err, platform.ErrNotFound)
-	first, err := store.CompareAndSwap(ctx, "a/1", 0, []byte{0, 255, 'x'}, platform.NoLease)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
+	first, err := store.CompareAndSwap(ctx, "a/1", 0, []byte{0, 255, 'x'}, kvstore.NoLease)
 	must.NoError(t, err)
-	_, err = store.CompareAndSwap(ctx, "a/1", 0, []byte("late"), platform.NoLease)
-	must.ErrorIs(t, err, platform.ErrConflict)
-	second, err := store.CompareAndSwap(ctx, "a/1", first, nil, platform.NoLease)
+	_, err = store.CompareAndSwap(ctx, "a/1", 0, []byte("late"), kvstore.NoLease)
+	must.ErrorIs(t, err, kvstore.ErrConflict)
+	second, err := store.CompareAndSwap(ctx, "a/1", first, nil, kvstore.NoLease)
 	must.NoError(t, err)
 	must.Greater(t, first, second)
-	must.ErrorIs(t, store.CompareAndDelete(ctx, "a/1", first), platform.ErrConflict)
+	must.ErrorIs(t, store.CompareAndDelete(ctx, "a/1", first), kvstore.ErrConflict)
 	for _, key := range []string{"a/2", "a0", "a"} {
-		_, err = store.CompareAndSwap(ctx, key, 0, []byte(key), platform.NoLease)
+		_, err = store.CompareAndSwap(ctx, key, 0, []byte(key), kvstore.NoLease)
 		must.NoError(t, err)
 	}
 	entries, revision, err := store.List(ctx, "a/")
 	must.NoError(t, err)
 	must.Eq(t, second+3, revision)
-	must.Eq(t, []platform.Entry{
+	must.Eq(t, []kvstore.Entry{
 		{Key: "a/1", Revision: second},
 		{Key: "a/2", Value: []byte("a/2"), Revision: second + 1},
 	}, entries)
@@ -124,11 +124,11 @@
 	must.NoError(t, err)
 	platformServer.clock.advance(100 * time.Millisecond)
 	_, err = store.Get(ctx, "k")
-	must.ErrorIs(t, err, platform.ErrNotFound)
-	must.ErrorIs(t, store.KeepAlive(ctx, lease), platform.ErrLeaseExpired)
-	must.ErrorIs(t, store.RevokeLease(ctx, lease), platform.ErrLeaseExpired)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
+	must.ErrorIs(t, store.KeepAlive(ctx, lease), kvstore.ErrLeaseExpired)
+	must.ErrorIs(t, store.RevokeLease(ctx, lease), kvstore.ErrLeaseExpired)
 	_, err = store.CompareAndSwap(ctx, "k", 0, nil, lease)
-	must.ErrorIs(t, err, platform.ErrLeaseExpired)
+	must.ErrorIs(t, err, kvstore.ErrLeaseExpired)
 }
 
 // Guards against a revoked lease that leaves its keys behind.
@@ -141,30 +141,30 @@
 	must.NoError(t, err)
 	must.NoError(t, store.RevokeLease(ctx, lease))
 	_, err = store.Get(ctx, "k")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 }
 
 // Guards against a write reported as without effect although it took effect, and against a write that
 // is sent again to another endpoint.
 func TestEtcdFailures(t *testing.T) {
-	slow := func(c *platform.EtcdConfig) { c.CallTimeout = 500 * time.Millisecond }
-	small := func(c *platform.EtcdConfig) { c.MaxAnswerBytes = 256 }
+	slow := func(c *kvstore.EtcdConfig) { c.CallTimeout = 500 * time.Millisecond }
+	small := func(c *kvstore.EtcdConfig) { c.MaxAnswerBytes = 256 }
 	oneWrite := func(c *emulator.Config) { c.WritesPerSecond = 1 }
 	cases := []struct {
 		name        string
 		limits      func(*emulator.Config)
 		fault       emulator.Fault
-		client      func(*platform.EtcdConfig)
+		client      func(*kvstore.EtcdConfig)
 		read, write error
 		effect      bool
 	}{
 		{name: "normal", effect: true},
-		{name: "down", fault: emulator.Fault{Mode: emulator.Down}, read: platform.ErrUnavailable, write: platform.ErrUnknownOutcome},
-		{name: "lost answer", fault: emulator.Fault{Mode: emulator.LoseAnswers}, write: platform.ErrUnknownOutcome, effect: true},
+		{name: "down", fault: emulator.Fault{Mode: emulator.Down}, read: kvstore.ErrUnavailable, write: kvstore.ErrUnknownOutcome},
+		{name: "lost answer", fault: emulator.Fault{Mode: emulator.LoseAnswers}, write: kvstore.ErrUnknownOutcome, effect: true},
 		{name: "slow", fault: emulator.Fault{Mode: emulator.Slow, DelayMS: 3_600_000}, client: slow,
-			read: platform.ErrUnavailable, write: platform.ErrUnknownOutcome},
-		{name: "over the rate", limits: oneWrite, write: platform.ErrUnavailable},
-		{name: "long answer", client: small, read: platform.ErrUnavailable, effect: true},
+			read: kvstore.ErrUnavailable, write: kvstore.ErrUnknownOutcome},
+		{name: "over the rate", limits: oneWrite, write: kvstore.ErrUnavailable},
+		{name: "long answer", client: small, read: kvstore.ErrUnavailable, effect: true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -172,14 +172,14 @@
 			server := start(t, c.limits)
 			// The same server stands behind both endpoints, so that a second attempt would be counted.
 			store := client(t, c.client, server.url, server.url)
-			_, err := client(t, nil, server.url).CompareAndSwap(ctx, "big", 0, bytes.Repeat([]byte("x"), 512), platform.NoLease)
+			_, err := client(t, nil, server.url).CompareAndSwap(ctx, "big", 0, bytes.Repeat([]byte("x"), 512), kvstore.NoLease)
 			must.NoError(t, err)
 			_, err = store.Get(ctx, "connect")
-			must.ErrorIs(t, err, platform.ErrNotFound)
+			must.ErrorIs(t, err, kvstore.ErrNotFound)
 			if c.fault.Mode != "" {
 				must.NoError(t, server.server.SetFault(c.fault))
 			}
-			_, err = store.CompareAndSwap(ctx, "k", 0, []byte("v"), platform.NoLease)
+			_, err = store.CompareAndSwap(ctx, "k", 0, []byte("v"), kvstore.NoLease)
 			must.ErrorIs(t, err, c.write)
 			_, err = store.Get(ctx, "big")
 			must.ErrorIs(t, err, c.read)
@@ -194,10 +194,10 @@
 // Guards against a write that gives up, or is reported as uncertain, while nothing was sent.
 func TestEtcdConnectionRefused(t *testing.T) {
 	ctx := t.Context()
-	_, err := client(t, nil, refusedURL(t)).CompareAndSwap(ctx, "k", 0, nil, platform.NoLease)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
-	must.False(t, errors.Is(err, platform.ErrUnknownOutcome))
-	_, err = client(t, nil, refusedURL(t), start(t, nil).url).CompareAndSwap(ctx, "k", 0, nil, platform.NoLease)
+	_, err := client(t, nil, refusedURL(t)).CompareAndSwap(ctx, "k", 0, nil, kvstore.NoLease)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
+	must.False(t, errors.Is(err, kvstore.ErrUnknownOutcome))
+	_, err = client(t, nil, refusedURL(t), start(t, nil).url).CompareAndSwap(ctx, "k", 0, nil, kvstore.NoLease)
 	must.NoError(t, err)
 }
 
@@ -209,17 +209,17 @@
 	store := client(t, nil, server.url)
 	_, revision, err := store.List(ctx, "w/")
 	must.NoError(t, err)
-	written, err := store.CompareAndSwap(ctx, "w/a", 0, []byte("1"), platform.NoLease)
+	written, err := store.CompareAndSwap(ctx, "w/a", 0, []byte("1"), kvstore.NoLease)
 	must.NoError(t, err)
 	entries, revision, err := store.Watch(ctx, "w/", revision)
 	must.NoError(t, err)
-	must.Eq(t, []platform.Entry{{Key: "w/a", Value: []byte("1"), Revision: written}}, entries)
-	_, err = store.CompareAndSwap(ctx, "other", 0, nil, platform.NoLease)
+	must.Eq(t, []kvstore.Entry{{Key: "w/a", Value: []byte("1"), Revision: written}}, entries)
+	_, err = store.CompareAndSwap(ctx, "other", 0, nil, kvstore.NoLease)
 	must.NoError(t, err)
 	go func() { _ = store.CompareAndDelete(ctx, "w/a", written) }()
 	entries, revision, err = store.Watch(ctx, "w/", revision)
 	must.NoError(t, err)
-	must.Eq(t, []platform.Entry{{Key: "w/a", Revision: written + 2, Deleted: true}}, entries)
+	must.Eq(t, []kvstore.Entry{{Key: "w/a", Revision: written + 2, Deleted: true}}, entries)
 
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
@@ -230,5 +230,5 @@
 
 	must.NoError(t, server.server.SetFault(emulator.Fault{Mode: emulator.Down}))
 	_, _, err = store.Watch(ctx, "w/", revision)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
 }
--- a/platform/memory.go
+++ b/kvstore/memory.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/member/election.go
+++ b/member/election.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 const (
@@ -54,7 +54,7 @@
 	Kind  CallKind
 	Key   string
 	Value []byte
-	Lease platform.LeaseID
+	Lease kvstore.LeaseID
 }
 
 // Election decides whether this node is a watcher of its failure domain. It says which platform call to
@@ -66,7 +66,7 @@
 	value  []byte
 	random *rand.Rand
 
-	lease platform.LeaseID
+	lease kvstore.LeaseID
 	// asked is when the call under way was given out; the lease counts from before the call.
 	asked   time.Time
 	pending Call
@@ -113,7 +113,7 @@
 	if e.pending.Kind != NoCall {
 		return Call{}
 	}
-	if e.lease != platform.NoLease && !now.Before(e.expires) {
+	if e.lease != kvstore.NoLease && !now.Before(e.expires) {
 		e.Drop()
 	}
 	call := e.next(now, rank)
@@ -133,7 +133,7 @@
 		return Call{Kind: ReadSlot, Key: e.key()}
 	case rank >= WatcherSlots:
 		return Call{}
-	case e.lease == platform.NoLease:
+	case e.lease == kvstore.NoLease:
 		e.slot, e.tried = rank, 0
 		return Call{Kind: GrantLease}
 	case e.tried >= WatcherSlots:
@@ -148,7 +148,7 @@
 
 // Result takes the outcome of the call that Next returned: the lease of GrantLease, the value that
 // ReadSlot found, and the error of the call.
-func (e *Election) Result(now time.Time, lease platform.LeaseID, value []byte, err error) {
+func (e *Election) Result(now time.Time, lease kvstore.LeaseID, value []byte, err error) {
 	call := e.pending
 	e.pending = Call{}
 	switch {
@@ -175,13 +175,13 @@
 	switch {
 	case err == nil:
 		e.holding = true
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		e.unclear = true
-	case errors.Is(err, platform.ErrConflict) && e.resent:
+	case errors.Is(err, kvstore.ErrConflict) && e.resent:
 		e.unclear, e.resent = true, false // the lost attempt may have taken the slot meanwhile
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		e.nextSlot()
-	case errors.Is(err, platform.ErrLeaseExpired):
+	case errors.Is(err, kvstore.ErrLeaseExpired):
 		e.Drop()
 	default:
 		e.retryAt = e.after(now, watcherRenewal)
@@ -194,7 +194,7 @@
 		e.holding, e.unclear = true, false
 	case err == nil:
 		e.nextSlot()
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, kvstore.ErrNotFound):
 		e.unclear, e.resent = false, true
 	default:
 		e.retryAt = e.after(now, watcherRenewal)
@@ -205,7 +205,7 @@
 	switch {
 	case err == nil:
 		e.extend()
-	case errors.Is(err, platform.ErrLeaseExpired):
+	case errors.Is(err, kvstore.ErrLeaseExpired):
 		e.Drop()
 	default:
 		e.renewAt = e.after(now, watcherRenewal/2)
--- a/member/election_test.go
+++ b/member/election_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 // perform makes the call that the election asks for and gives it the result.
-func perform(store platform.Store, e *Election, now time.Time, rank int) CallKind {
+func perform(store kvstore.Store, e *Election, now time.Time, rank int) CallKind {
 	ctx := context.Background()
 	call := e.Next(now, rank)
-	var lease platform.LeaseID
-	var entry platform.Entry
+	var lease kvstore.LeaseID
+	var entry kvstore.Entry
 	var err error
 	switch call.Kind {
 	case NoCall:
@@ -43,7 +43,7 @@
 	var calls []int
 	for _, members := range []int{5, 50, 500} {
 		now := time.Unix(1e6, 0)
-		store := platform.NewMemory(func() time.Time { return now })
+		store := kvstore.NewMemory(func() time.Time { return now })
 		elections := make([]*Election, members)
 		for i := range elections {
 			elections[i] = NewElection("a", fmt.Append(nil, "node-", i), rand.New(rand.NewPCG(uint64(i), 1)))
@@ -112,7 +112,7 @@
 // Guards against a slot that never moves on when better ranked members displaced its holder.
 func TestElectionReleases(t *testing.T) {
 	now := time.Unix(1e6, 0)
-	store := platform.NewMemory(func() time.Time { return now })
+	store := kvstore.NewMemory(func() time.Time { return now })
 	e := NewElection("a", []byte("x"), rand.New(rand.NewPCG(1, 1)))
 	must.Eq(t, GrantLease, perform(store, e, now, 0))
 	must.Eq(t, TakeSlot, perform(store, e, now, 0))
--- a/node/node.go
+++ b/node/node.go
@@ -22,9 +22,9 @@
 	"github.com/cowslipglade/cowslipglade/caller"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/operator"
 	"github.com/cowslipglade/cowslipglade/peer"
-	"github.com/cowslipglade/cowslipglade/platform"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/retry"
 	"github.com/cowslipglade/cowslipglade/throttle"
@@ -42,7 +42,7 @@
 	settings *settings.Node
 	log      zerolog.Logger
 	keyring  *signature.Keyring
-	store    platform.Store
+	store    kvstore.Store
 	// incarnation is that of the start. The one that peers address is in identity, which takes a higher
 	// one when an earlier process with this name had it.
 	incarnation uint64
@@ -83,7 +83,7 @@
 
 // New returns a node that is not yet listening. The incarnation must be higher than that of every
 // earlier process with the same name; the start time in nanoseconds serves.
-func New(s *settings.Node, store platform.Store, log zerolog.Logger, incarnation uint64) *Node {
+func New(s *settings.Node, store kvstore.Store, log zerolog.Logger, incarnation uint64) *Node {
 	keyring := signature.NewKeyring(s.Secrets)
 	n := &Node{
 		settings:     s,
--- a/node/operator.go
+++ b/node/operator.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/operator"
-	"github.com/cowslipglade/cowslipglade/platform"
 	operatorv1 "github.com/cowslipglade/cowslipglade/rpc/operator/v1"
 )
 
@@ -142,12 +142,12 @@
 }
 
 // releaseShard deletes an owner key. A conflict means that the shard is already free or has a new owner.
-func (n *Node) releaseShard(ctx context.Context, entry platform.Entry) error {
+func (n *Node) releaseShard(ctx context.Context, entry kvstore.Entry) error {
 	err := n.store.CompareAndDelete(ctx, entry.Key, entry.Revision)
 	switch {
-	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+	case err == nil, errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrNotFound):
 		return nil
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		return fmt.Errorf("%w: release of %s", config.ErrUnknownOutcome, entry.Key)
 	default:
 		return fmt.Errorf("%w: release of %s: %w", config.ErrUnavailable, entry.Key, err)
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/operator"
-	"github.com/cowslipglade/cowslipglade/platform"
 )
 
 // The steps of the operators' page for a new shared secret must fail no request, and afterwards a node
@@ -79,7 +79,7 @@
 	f.nodes[holder].quota.shards.lose(0)
 	record, err := json.Marshal(shardRecord{Node: "node-9", Incarnation: 1, Address: "127.0.0.1:1"})
 	must.NoError(t, err)
-	_, err = f.store.CompareAndSwap(t.Context(), key, entry.Revision, record, platform.NoLease)
+	_, err = f.store.CompareAndSwap(t.Context(), key, entry.Revision, record, kvstore.NoLease)
 	must.NoError(t, err)
 	f.store.SetDown(true)
 	_, err = f.nodes[1].ReleaseShards(t.Context(), "node-9", "test")
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -21,7 +21,7 @@
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/keys"
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/upstream"
 )
 
@@ -30,7 +30,7 @@
 // fleet is a set of nodes in one process around one store.
 type fleet struct {
 	t     testing.TB
-	store *platform.Memory
+	store *kvstore.Memory
 	nodes []*Node
 }
 
@@ -44,7 +44,7 @@
 
 // newFleet starts count nodes, all seeded with the first, and commits a workspace, a key and routes.
 func newFleet(t testing.TB, count int) *fleet {
-	f := &fleet{t: t, store: platform.NewMemory(time.Now)}
+	f := &fleet{t: t, store: kvstore.NewMemory(time.Now)}
 	for i := range count {
 		s := settings.DefaultNode()
 		s.Name = fmt.Sprintf("node-%d", i)
--- a/node/shards.go
+++ b/node/shards.go
@@ -14,7 +14,7 @@
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	membershipv1 "github.com/cowslipglade/cowslipglade/rpc/membership/v1"
 	quotav1 "github.com/cowslipglade/cowslipglade/rpc/quota/v1"
@@ -51,7 +51,7 @@
 
 type ownedShard struct {
 	shard   *ratelimit.Shard
-	lease   platform.LeaseID
+	lease   kvstore.LeaseID
 	term    uint64
 	renewed time.Time
 }
@@ -219,7 +219,7 @@
 }
 
 // claim creates the owner key, and reads it back when the answer is lost.
-func (o *shardOwner) claim(ctx context.Context, number int, lease platform.LeaseID) error {
+func (o *shardOwner) claim(ctx context.Context, number int, lease kvstore.LeaseID) error {
 	record, err := json.Marshal(shardRecord{
 		Node: o.node.settings.Name, Incarnation: o.node.incarnation, Address: o.node.settings.Advertised(),
 	})
@@ -228,10 +228,10 @@
 	}
 	key := o.key(shardOwnerPrefix, number)
 	_, err = o.node.store.CompareAndSwap(ctx, key, 0, record, lease)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return errNotOwner
 	}
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, kvstore.ErrUnknownOutcome) {
 		return err
 	}
 	entry, readErr := o.node.store.Get(ctx, key)
@@ -248,7 +248,7 @@
 func (o *shardOwner) nextTerm(ctx context.Context, number int) (uint64, error) {
 	key := o.key(shardTermPrefix, number)
 	entry, err := o.node.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return 0, fmt.Errorf("read term: %w", err)
 	}
 	term := uint64(1)
@@ -259,14 +259,14 @@
 		}
 		term = last + 1
 	}
-	_, err = o.node.store.CompareAndSwap(ctx, key, entry.Revision, []byte(strconv.FormatUint(term, 10)), platform.NoLease)
+	_, err = o.node.store.CompareAndSwap(ctx, key, entry.Revision, []byte(strconv.FormatUint(term, 10)), kvstore.NoLease)
 	if err != nil {
 		return 0, fmt.Errorf("raise term: %w", err)
 	}
 	return term, nil
 }
 
-func (o *shardOwner) begin(number int, lease platform.LeaseID, term uint64, asked time.Time) {
+func (o *shardOwner) begin(number int, lease kvstore.LeaseID, term uint64, asked time.Time) {
 	now := o.node.leaseNow()
 	shard := ratelimit.NewShard(o.id(number), ratelimit.DefaultShardConfig())
 	shard.Begin(asked, now, shardLease, term)
@@ -304,7 +304,7 @@
 		case err == nil:
 			s.shard.Renew(now, shardLease)
 			s.renewed = now
-		case errors.Is(err, platform.ErrLeaseExpired):
+		case errors.Is(err, kvstore.ErrLeaseExpired):
 			o.lose(number)
 		default:
 			errs = append(errs, fmt.Errorf("renew shard %d: %w", number, err))
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -58,8 +58,17 @@
 }
 
 func encodeContext(keyring *signature.Keyring, sender string, d Destination, req *call.Request, now time.Time) (encoded, sign string, err error) {
+	data, err := proto.Marshal(contextMessage(sender, d, req, now))
+	if err != nil {
+		return "", "", fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	encoded, sign = encodeRaw(keyring, labelContext, data)
+	return encoded, sign, nil
+}
+
+func contextMessage(sender string, d Destination, req *call.Request, now time.Time) *callv1.Context {
 	c := &req.Context
-	data, err := proto.Marshal(&callv1.Context{
+	return &callv1.Context{
 		CallId:                 c.CallID,
 		RequestId:              c.RequestID,
 		Workspace:              c.Workspace,
@@ -78,12 +87,8 @@
 		Sender:                 sender,
 		DestinationIncarnation: d.Incarnation,
 		Kind:                   d.Kind,
-	})
-	if err != nil {
-		return "", "", fmt.Errorf("%w: %w", ErrMalformed, err)
+		CallerService:          c.CallerService,
 	}
-	encoded, sign = encodeRaw(keyring, labelContext, data)
-	return encoded, sign, nil
 }
 
 // encodeRaw returns the header values for encoded metadata.
@@ -100,6 +105,10 @@
 	if err := keyring.Verify(sign, labelContext, data); err != nil {
 		return nil, ErrUnauthenticated
 	}
+	return unmarshalContext(data, now)
+}
+
+func unmarshalContext(data []byte, now time.Time) (*Incoming, error) {
 	var m callv1.Context
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -126,6 +135,8 @@
 				Depth:       int(m.Depth),
 				Crashes:     int(m.Crashes),
 				Fingerprint: m.Fingerprint,
+
+				CallerService: m.CallerService,
 			},
 			Method: m.Method,
 			Target: m.Target,
@@ -156,14 +167,7 @@
 func encodeAnswer(keyring *signature.Keyring, callID string, answer *call.Answer, refusal *call.Refusal) (encoded, sign string, err error) {
 	m := &callv1.AnswerMetadata{CallId: callID}
 	if refusal != nil {
-		m.Refusal = &callv1.Refusal{
-			Code:         string(refusal.Code),
-			Message:      refusal.Message,
-			MayHaveRun:   refusal.Outcome == call.MayHaveRun,
-			RetryAfterMs: refusal.RetryAfter.Milliseconds(),
-			Final:        refusal.Final,
-			Crashed:      refusal.Crashed,
-		}
+		m.Refusal = refusalMessage(refusal)
 		m.UnspentBudget = uint32(refusal.UnspentBudget)
 		if refusal.Load != nil {
 			m.Load = encodeLoad(*refusal.Load)
@@ -180,6 +184,17 @@
 	return encoded, sign, nil
 }
 
+func refusalMessage(refusal *call.Refusal) *callv1.Refusal {
+	return &callv1.Refusal{
+		Code:         string(refusal.Code),
+		Message:      refusal.Message,
+		MayHaveRun:   refusal.Outcome == call.MayHaveRun,
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		Final:        refusal.Final,
+		Crashed:      refusal.Crashed,
+	}
+}
+
 func decodeAnswer(keyring *signature.Keyring, encoded, sign string) (*callv1.AnswerMetadata, error) {
 	data, err := base64.RawURLEncoding.DecodeString(encoded)
 	if err != nil {
--- /dev/null
+++ b/sidecar/entry.go
@@ -0,0 +1,260 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/internal/httpanswer"
+	"github.com/cowslipglade/cowslipglade/keys"
+	"github.com/cowslipglade/cowslipglade/quarantine"
+	"github.com/cowslipglade/cowslipglade/ratelimit"
+)
+
+const (
+	// defaultTimeout holds when neither client nor route sets one.
+	defaultTimeout = 10 * time.Second
+	// unknownRetry is the suggested wait while the configuration is unknown or too old: the time between two
+	// reads of it.
+	unknownRetry = configurationEvery / 2
+	// overloadRetry is the least wait suggested after a refusal for lack of room; up to as much again is
+	// added at random.
+	overloadRetry = 400 * time.Millisecond
+	// quotaRetryLimit is the longest wait suggested after a refusal for the rate.
+	quotaRetryLimit = 2 * time.Second
+)
+
+// entry is a request that entered at this node.
+type entry struct {
+	fields RequestFields
+	route  *config.Route
+	req    *call.Request
+	body   *replayBody
+	start  time.Time
+}
+
+// ServeHTTP takes the requests of clients and of the upstream on this VM.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.entered.Add(1)
+	defer n.entered.Add(-1)
+	start := time.Now()
+	e := &entry{fields: n.headers.TakeRequest(r.Header), start: start}
+	answer, refusal := n.serve(w, r, e)
+	took := time.Since(start)
+	n.metrics.request(refusal, took)
+	n.logRequest(r, e, answer, refusal, took)
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refusal != nil {
+		n.writeRefusal(w, e.fields.ID, refusal)
+		return
+	}
+	httpanswer.Write(w, r.Method, answer)
+}
+
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, e *entry) (*call.Answer, *call.Refusal) {
+	if refusal := n.admit(r, e); refusal != nil {
+		return nil, refusal
+	}
+	body, err := readBody(w, r, e.req.Deadline)
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	e.body = body
+	if !e.route.Open || e.req.Workspace != "" {
+		if refusal := n.takeQuota(e.req.Workspace); refusal != nil {
+			return nil, refusal
+		}
+	}
+	e.req.Fingerprint = quarantine.Fingerprint(e.req.Workspace+"|"+e.req.CallerService, e.req.Method, e.req.Target, body.hash())
+	if standing, left := n.quarantine.Standing(e.req.Fingerprint, time.Now()); standing == quarantine.Quarantined {
+		refusal := call.NewRefusal(call.CodeQuarantined, call.NotRun, "the request has crashed upstreams")
+		refusal.RetryAfter = min(left, quotaRetryLimit)
+		return nil, refusal
+	}
+	return n.dispatch(r.Context(), e)
+}
+
+// readBody reads a body that fits into memory. The bound on its time ends with it, because net/http would
+// otherwise take the deadline for the client's departure.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*replayBody, error) {
+	if r.ContentLength == 0 {
+		return &replayBody{}, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	body, err := newReplayBody(r.Body, r.ContentLength)
+	if err == nil && body.stream == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// admit finds route and workspace of a request and sets its deadline.
+func (n *Node) admit(r *http.Request, e *entry) *call.Refusal {
+	p := n.configuration.current.Load()
+	if p == nil {
+		refusal := call.NewRefusal(call.CodeStaleConfiguration, call.NotRun, "no configuration is known yet")
+		refusal.RetryAfter = unknownRetry
+		return refusal
+	}
+	// A route or key that is not known may be in a configuration that has not been read yet.
+	current := n.configuration.freshWithin(n.settings().ConfigApplyTime)
+	route := p.routes.match(r.Host, r.RequestURI)
+	if route == nil {
+		return n.unknown(current, call.CodeUnknownRoute, "no route for host and path")
+	}
+	e.route = route
+	timeout := e.fields.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	header := http.Header{}
+	call.CopyHeader(header, r.Header)
+	e.req = &call.Request{
+		Context: call.Context{
+			RequestID: e.fields.ID, Route: route.Name, Service: chooseService(route, random.Float64()),
+			Importance: route.Importance, Idempotent: route.Idempotent, Deadline: e.start.Add(timeout),
+			CallerService: n.settings().Service,
+		},
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ContentLength: r.ContentLength,
+	}
+	if route.Open || p.document.Keyless {
+		return nil
+	}
+	if !n.configuration.keysUsable() {
+		age, _ := n.configuration.age()
+		refusal := call.NewRefusal(call.CodeStaleConfiguration, call.NotRun, "configuration was last confirmed %v ago", age.Round(time.Millisecond))
+		refusal.RetryAfter = unknownRetry
+		return refusal
+	}
+	if e.fields.Key == "" {
+		return n.unknown(current, call.CodeMissingKey, "the route needs a key")
+	}
+	key, ok := p.document.Keys[keys.Hash(e.fields.Key)]
+	if !ok || key.Withdrawn {
+		return n.unknown(current, call.CodeUnknownKey, "the key is not known")
+	}
+	e.req.Workspace, e.req.KeyHash = key.Workspace, key.SHA256
+	if class := p.document.Workspaces[key.Workspace].Importance; class != nil {
+		e.req.Importance = *class
+	}
+	return nil
+}
+
+// unknown refuses what the configuration does not hold, for good only if the configuration is current.
+func (n *Node) unknown(current bool, code call.Code, reason string) *call.Refusal {
+	if current {
+		return call.NewRefusal(code, call.NotRun, "%s", reason)
+	}
+	refusal := call.NewRefusal(call.CodeStaleConfiguration, call.NotRun, "%s, and the configuration is old", reason)
+	refusal.RetryAfter = unknownRetry
+	return refusal
+}
+
+// takeQuota admits a request of a workspace within this node's share of its rate.
+func (n *Node) takeQuota(workspace string) *call.Refusal {
+	quota, ok := n.quota(workspace)
+	if !ok {
+		return nil
+	}
+	admitted, wait := n.shares.Take(workspace, quota, time.Now())
+	if admitted {
+		return nil
+	}
+	refusal := call.NewRefusal(call.CodeRateExceeded, call.NotRun, "workspace %s is above this node's share of its rate", workspace)
+	refusal.RetryAfter = min(max(wait, overloadRetry), quotaRetryLimit)
+	return refusal
+}
+
+// quota returns the rate and burst of a workspace over all nodes.
+func (n *Node) quota(workspace string) (ratelimit.Quota, bool) {
+	w, ok := n.configuration.document().Workspaces[workspace]
+	return ratelimit.Quota{Rate: w.Rate, Burst: w.Burst}, ok
+}
+
+func (n *Node) adjustShares() { n.shares.Adjust(n.quota, time.Now()) }
+
+// bodyRefusal turns a failed read of a client's body into a refusal.
+func bodyRefusal(err error) *call.Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return call.NewRefusal(call.CodeDeadline, call.NotRun, "request body did not arrive within the deadline")
+	}
+	return call.NewRefusal(call.CodeIncompleteBody, call.NotRun, "request body ended early: %v", err)
+}
+
+// writeRefusal answers with a status that promises no more than is certain.
+func (n *Node) writeRefusal(w http.ResponseWriter, requestID string, refusal *call.Refusal) {
+	status := refusalStatus(refusal)
+	retryAfter := time.Duration(0)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		retryAfter = refusal.RetryAfter
+		if retryAfter <= 0 {
+			retryAfter = overloadRetry + time.Duration(random.Float64()*float64(overloadRetry))
+		}
+	}
+	n.headers.PutRefusal(w.Header(), requestID, retryAfter)
+	text := string(refusal.Code) + " (" + refusal.Outcome.String() + "): " + refusal.Message + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text)) // an error means that the client has gone
+}
+
+// refusalStatus returns the HTTP status of a refusal. 503 and 429 say that the request has not run.
+func refusalStatus(refusal *call.Refusal) int {
+	if refusal.Outcome == call.MayHaveRun {
+		if refusal.Code == call.CodeDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch refusal.Code {
+	case call.CodeUnknownRoute, call.CodeMissingKey, call.CodeUnknownKey, call.CodeRateExceeded, call.CodeIncompleteBody, call.CodeBadRequest:
+		return refusal.Status()
+	}
+	return http.StatusServiceUnavailable
+}
+
+// logRequest writes a line for each request that got no good answer and for some of the others.
+func (n *Node) logRequest(r *http.Request, e *entry, answer *call.Answer, refusal *call.Refusal, took time.Duration) {
+	kind := "request_answered"
+	if refusal != nil {
+		kind = "request_refused"
+	} else if answer.Status >= http.StatusInternalServerError {
+		kind = "request_failed"
+	}
+	event := n.log.event(kind)
+	if event == nil {
+		return
+	}
+	event.Str("request_id", e.fields.ID).Str("method", r.Method).Dur("took_ms", took).Int64("configuration", n.configuration.revision())
+	if age, ok := n.configuration.age(); ok {
+		event.Dur("configuration_age_ms", age)
+	}
+	if e.route != nil {
+		event.Str("route", e.route.Name).Str("service", e.req.Service).Str("workspace", e.req.Workspace)
+	}
+	if refusal != nil {
+		event.Str("code", string(refusal.Code)).Str("outcome", refusal.Outcome.String()).Int("status", refusalStatus(refusal)).Str("reason", refusal.Message)
+	} else {
+		event.Int("status", answer.Status)
+	}
+	event.Msg("request")
+}
+
+// detached returns a context that outlives the client but not the deadline.
+func detached(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
--- /dev/null
+++ b/sidecar/gossip.go
@@ -0,0 +1,259 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cowslipglade/cowslipglade/quarantine"
+	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
+)
+
+const (
+	// gossipEvery is the time between two rounds of exchanges.
+	gossipEvery = 500 * time.Millisecond
+	// gossipTargets bounds the exchanges that a node starts in a round, each about 0.2 ms of processor
+	// time. Larger fleets are covered in turn.
+	gossipTargets = 16
+	// gossipTimeout bounds an exchange. A node that is alive answers in milliseconds.
+	gossipTimeout = 400 * time.Millisecond
+	// gossipIdle closes unused connections between nodes.
+	gossipIdle = 10 * time.Second
+	// gossipFailures in a row mean that a node is unreachable.
+	gossipFailures = 2
+	// gossipMarks bounds the crash marks in one message.
+	gossipMarks = 256
+)
+
+// gossip exchanges state with the other nodes. It relays the configuration and how fresh it is to nodes
+// that cannot read the store, carries demand for the shares of quotas, and detects unreachable nodes.
+type gossip struct {
+	node   *Node
+	client *http.Client
+
+	mu    sync.Mutex
+	peers map[string]*peerState
+	next  int // of the rotation over a large fleet
+}
+
+type peerState struct {
+	heard    time.Time
+	failures int
+	revision int64
+	// marksSent is the number of the last change of the crash marks that the peer has.
+	marksSent uint64
+}
+
+func newGossip(n *Node) *gossip {
+	return &gossip{node: n, peers: map[string]*peerState{}, client: &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: gossipIdle, DisableCompression: true,
+			ReadBufferSize: gossipBuffer, WriteBufferSize: gossipBuffer,
+		},
+	}}
+}
+
+// gossipBuffer is the size of a connection's buffers in bytes.
+const gossipBuffer = 2 << 10
+
+func (g *gossip) peer(name string) *peerState {
+	p := g.peers[name]
+	if p == nil {
+		p = &peerState{}
+		g.peers[name] = p
+	}
+	return p
+}
+
+// heardWithin tells whether a node has been heard within d.
+func (g *gossip) heardWithin(name string, d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[name]
+	return p != nil && time.Since(p.heard) < d
+}
+
+// run exchanges state in rounds until ctx ends.
+func (g *gossip) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var round sync.WaitGroup
+		for _, target := range g.targets() {
+			round.Go(func() { g.exchange(ctx, target) })
+		}
+		round.Wait()
+		g.node.adjustShares()
+		sleep(ctx, jittered(gossipEvery))
+	}
+}
+
+// targets returns the nodes to call in this round. Of two nodes one calls the other, and the other calls
+// back only when it has not been called.
+func (g *gossip) targets() []Registration {
+	own := g.node.settings().Node
+	others := g.node.registry.others()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := make(map[string]bool, len(others))
+	due := make([]Registration, 0, len(others))
+	for _, other := range others {
+		known[other.Node] = true
+		if callsFirst(own, other.Node) || time.Since(g.peer(other.Node).heard) > 2*gossipEvery {
+			due = append(due, other)
+		}
+	}
+	for name := range g.peers {
+		if !known[name] {
+			delete(g.peers, name)
+		}
+	}
+	if len(due) <= gossipTargets {
+		return due
+	}
+	chosen := make([]Registration, 0, gossipTargets)
+	for range gossipTargets {
+		g.next++
+		chosen = append(chosen, due[g.next%len(due)])
+	}
+	return chosen
+}
+
+// callsFirst splits the pairs evenly: a node starts the exchange with about half of the others.
+func callsFirst(own, other string) bool {
+	sum := 0
+	for i := range len(own) {
+		sum += int(own[i])
+	}
+	for i := range len(other) {
+		sum += int(other[i])
+	}
+	return (sum%2 == 0) == (own < other)
+}
+
+func (g *gossip) exchange(ctx context.Context, target Registration) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	client := gossipv1.NewGossipProtobufClient("http://"+target.ControlAddress, g.client)
+	sent := leaseNow()
+	state, marks := g.state(target.Node)
+	answer, err := client.Exchange(ctx, state)
+	if err == nil && answer.Node != target.Node {
+		err = errForeignEntry
+	}
+	if err != nil {
+		g.failed(target.Node, err)
+		return
+	}
+	g.learn(answer, sent, marks)
+}
+
+// failed counts a failed exchange. Two in a row make the node unreachable for calls as well.
+func (g *gossip) failed(name string, err error) {
+	g.mu.Lock()
+	p := g.peer(name)
+	p.failures++
+	failures := p.failures
+	g.mu.Unlock()
+	if failures < gossipFailures {
+		return
+	}
+	g.node.picker.SetReachable(name, false, time.Now())
+	if failures == gossipFailures {
+		g.node.log.event("peer").Str("peer", name).Str("outcome", "unreachable").Err(err).Msg("node does not answer")
+	}
+}
+
+// Exchange implements gossipv1.Gossip.
+func (g *gossip) Exchange(_ context.Context, state *gossipv1.State) (*gossipv1.State, error) {
+	answer, marks := g.state(state.Node)
+	if state.ConfigurationRevision < answer.ConfigurationRevision {
+		answer.Configuration = g.node.configuration.current.Load().raw
+	}
+	g.learn(state, leaseNow(), marks)
+	return answer, nil
+}
+
+// state returns what this node tells a peer, with the number of the last crash mark in it.
+func (g *gossip) state(peer string) (*gossipv1.State, uint64) {
+	n := g.node
+	state := &gossipv1.State{
+		Node: n.settings().Node, Incarnation: n.incarnation,
+		ConfigurationRevision: n.configuration.revision(), ConfigurationAgeUs: -1,
+	}
+	if age, ok := n.configuration.age(); ok {
+		state.ConfigurationAgeUs = age.Microseconds()
+	}
+	g.mu.Lock()
+	p := g.peer(peer)
+	if p.revision < state.ConfigurationRevision && !p.heard.IsZero() {
+		state.Configuration = n.configuration.current.Load().raw
+	}
+	after := p.marksSent
+	g.mu.Unlock()
+	for workspace, perSecond := range n.shares.Demand(time.Now()) {
+		state.Demands = append(state.Demands, &gossipv1.Demand{Workspace: workspace, PerSecond: float32(perSecond)})
+	}
+	marks, last := n.quarantine.Changes(after, gossipMarks)
+	for _, m := range marks {
+		state.Marks = append(state.Marks, &gossipv1.Mark{
+			Fingerprint: m.Fingerprint, Crash: uint64(m.Crash), UnixMs: m.At.UnixMilli(), Weak: m.Weak, Cleared: m.Cleared,
+		})
+	}
+	registration, err := json.Marshal(n.registry.registration())
+	if err != nil {
+		n.log.event("gossip_failed").Err(err).Msg("registration not encoded")
+	}
+	state.Registration = registration
+	return state, last
+}
+
+// learn takes in the state of a peer that was asked for at a time of the lease clock.
+func (g *gossip) learn(state *gossipv1.State, asked time.Time, marksSent uint64) {
+	n := g.node
+	now := time.Now()
+	var reg Registration
+	if err := json.Unmarshal(state.Registration, &reg); err != nil || reg.Node != state.Node {
+		n.log.event("gossip_rejected").Str("peer", state.Node).AnErr("error", err).Msg("state ignored")
+		return
+	}
+	n.registry.learn(reg, false)
+	g.mu.Lock()
+	p := g.peer(state.Node)
+	regained := p.failures >= gossipFailures
+	p.heard, p.failures, p.revision = now, 0, state.ConfigurationRevision
+	p.marksSent = marksSent
+	g.mu.Unlock()
+	if regained {
+		n.picker.SetReachable(state.Node, true, now)
+		n.log.event("peer").Str("peer", state.Node).Str("outcome", "reachable").Msg("node answers again")
+	}
+	g.learnConfiguration(state, asked)
+	demands := make(map[string]float64, len(state.Demands))
+	for _, d := range state.Demands {
+		demands[d.Workspace] = float64(d.PerSecond)
+	}
+	n.shares.Report(state.Node, demands, now)
+	marks := make([]quarantine.Mark, 0, len(state.Marks))
+	for _, m := range state.Marks {
+		marks = append(marks, quarantine.Mark{
+			Fingerprint: m.Fingerprint, Crash: quarantine.CrashID(m.Crash), At: time.UnixMilli(m.UnixMs), Weak: m.Weak, Cleared: m.Cleared,
+		})
+	}
+	n.quarantine.Merge(marks, now)
+}
+
+// learnConfiguration takes in a newer configuration and how fresh the peer's is.
+func (g *gossip) learnConfiguration(state *gossipv1.State, asked time.Time) {
+	if state.ConfigurationAgeUs < 0 {
+		return
+	}
+	at := asked.Add(-time.Duration(state.ConfigurationAgeUs) * time.Microsecond)
+	if len(state.Configuration) > 0 && state.ConfigurationRevision > g.node.configuration.revision() {
+		if err := g.node.configuration.offer(state.Configuration, at, "peer "+state.Node); err != nil {
+			g.node.log.event("configuration_rejected").Str("from", state.Node).Err(err).Msg("configuration ignored")
+		}
+		return
+	}
+	g.node.configuration.confirm(state.ConfigurationRevision, at)
+}
--- /dev/null
+++ b/sidecar/log.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+const (
+	// logBuffer is the number of lines that wait for a slow reader of the log; more are dropped.
+	logBuffer = 1024
+	// linesPerSecond bounds the lines of one kind. Writing a line costs some microseconds of processor time.
+	linesPerSecond = 20
+	// lineBurst is the number of lines of one kind that may be written at once.
+	lineBurst = 60
+)
+
+// NewLogWriter returns a writer that never blocks. Lines that do not fit into its buffer are dropped and
+// their number is passed to dropped.
+func NewLogWriter(w io.Writer, dropped func(int)) io.WriteCloser {
+	return diode.NewWriter(w, logBuffer, 0, dropped)
+}
+
+// decisionLog writes one line for each decision, bounded by kind. It is safe for concurrent use.
+type decisionLog struct {
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	kinds map[string]*lineBudget
+}
+
+type lineBudget struct {
+	tokens     float64
+	at         time.Time
+	suppressed int
+}
+
+func newDecisionLog(log zerolog.Logger) *decisionLog {
+	return &decisionLog{log: log, kinds: map[string]*lineBudget{}}
+}
+
+// event returns an event of a kind, or nil, which discards all fields, when the kind is over its bound.
+// The next line of the kind tells how many were left out.
+func (d *decisionLog) event(kind string) *zerolog.Event {
+	suppressed, ok := d.allow(kind, time.Now())
+	if !ok {
+		return nil
+	}
+	e := d.log.Info().Str("event", kind)
+	if suppressed > 0 {
+		e.Int("suppressed", suppressed)
+	}
+	return e
+}
+
+func (d *decisionLog) allow(kind string, now time.Time) (suppressed int, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.kinds[kind]
+	if b == nil {
+		b = &lineBudget{tokens: lineBurst, at: now}
+		d.kinds[kind] = b
+	}
+	b.tokens = min(lineBurst, b.tokens+linesPerSecond*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		b.suppressed++
+		return 0, false
+	}
+	b.tokens--
+	suppressed = b.suppressed
+	b.suppressed = 0
+	return suppressed, true
+}
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cowslipglade/cowslipglade/call"
+)
+
+// Bounds of latency histograms.
+const (
+	histogramMinimum = 10 * time.Microsecond
+	histogramMaximum = time.Minute
+	histogramDigits  = 2 // of precision; each histogram takes about 30 KB
+)
+
+// latencyHistogram is safe for concurrent use.
+type latencyHistogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+func newLatencyHistogram() *latencyHistogram {
+	return &latencyHistogram{values: hdrhistogram.New(histogramMinimum.Microseconds(), histogramMaximum.Microseconds(), histogramDigits)}
+}
+
+func (h *latencyHistogram) record(d time.Duration) {
+	us := min(max(d, histogramMinimum), histogramMaximum).Microseconds()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.values.RecordValue(us) // within bounds
+}
+
+// summary returns count and quantiles in milliseconds.
+func (h *latencyHistogram) summary() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	summary := map[string]float64{"count": float64(h.values.TotalCount())}
+	for _, q := range []float64{50, 90, 99, 99.9} {
+		summary[fmt.Sprintf("p%g_ms", q)] = float64(h.values.ValueAtQuantile(q)) / 1000
+	}
+	return summary
+}
+
+// metrics holds the counters and histograms of one node.
+type metrics struct {
+	vars *expvar.Map
+	// outcomes counts requests that entered here by how they ended.
+	outcomes *expvar.Map
+	// refused counts calls that were refused at the upstream beside this node, by reason.
+	refused *expvar.Map
+	repeats *expvar.Map
+	store   *expvar.Map
+	// entry is the time from a request's arrival to its answer, run that at the upstream, queue that
+	// before it.
+	entry, run, queue *latencyHistogram
+}
+
+func newMetrics(n *Node) *metrics {
+	m := &metrics{
+		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(),
+		entry: newLatencyHistogram(), run: newLatencyHistogram(), queue: newLatencyHistogram(),
+	}
+	m.vars.Set("requests_total", m.outcomes)
+	m.vars.Set("destination_refusals_total", m.refused)
+	m.vars.Set("repeats_total", m.repeats)
+	m.vars.Set("store_calls_total", m.store)
+	m.vars.Set("request_latency", expvar.Func(m.entry.summary))
+	m.vars.Set("upstream_latency", expvar.Func(m.run.summary))
+	m.vars.Set("queue_delay", expvar.Func(m.queue.summary))
+	m.vars.Set("upstream_connections_opened_total", expvar.Func(func() any { return n.upstreams.Opened() }))
+	m.vars.Set("configuration_revision", expvar.Func(func() any { return n.configuration.revision() }))
+	m.vars.Set("configuration_age_seconds", expvar.Func(func() any {
+		age, ok := n.configuration.age()
+		if !ok {
+			return nil
+		}
+		return age.Seconds()
+	}))
+	m.vars.Set("members", expvar.Func(func() any { return len(n.registry.others()) + 1 }))
+	return m
+}
+
+// StoreCall counts a call of the store by its result. Status is 0 when there was no answer.
+func (n *Node) StoreCall(kind string, status int, took time.Duration, err error) {
+	n.metrics.store.Add(fmt.Sprintf("%s %d", kind, status), 1)
+	if err != nil {
+		n.log.event("store_call_failed").Str("call", kind).Int("status", status).Dur("took_ms", took).Err(err).Msg("call of the store failed")
+	}
+}
+
+// request counts the end of a request that entered here.
+func (m *metrics) request(refusal *call.Refusal, took time.Duration) {
+	m.entry.record(took)
+	if refusal == nil {
+		m.outcomes.Add("answered", 1)
+		return
+	}
+	m.outcomes.Add(string(refusal.Code)+"/"+refusal.Outcome.String(), 1)
+}
+
+func (m *metrics) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = fmt.Fprintln(w, m.vars.String())
+	})
+}
--- /dev/null
+++ b/sidecar/node.go
@@ -0,0 +1,242 @@
+// Package sidecar is the node on a VM whose operators write the configuration to a store and whose
+// upstreams announce themselves by heartbeats.
+//
+// One process runs beside each upstream. It takes the requests of the clients and of the upstream on its
+// VM, chooses an upstream of the route's service, and hands the call to the node beside that upstream, which
+// queues it, runs it and returns the answer. The node beside an upstream is the only way to it, so its
+// slots, drain state and crashes have one owner.
+//
+// The store holds the configuration and one leased entry for each node. Everything else is exchanged
+// between nodes directly, so that traffic goes on while the store is away: demand for quotas, the age of
+// the configuration, crash marks and who is reachable. Nothing is kept on the VM.
+//
+// A Node owns its goroutines and sockets. Its methods are safe for concurrent use.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/kvstore"
+	"github.com/cowslipglade/cowslipglade/peer"
+	"github.com/cowslipglade/cowslipglade/quarantine"
+	"github.com/cowslipglade/cowslipglade/ratelimit"
+	"github.com/cowslipglade/cowslipglade/retry"
+	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
+	"github.com/cowslipglade/cowslipglade/upstream"
+)
+
+const (
+	// maxHeaderBytes is above any limit that operators set for clients.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout frees connections whose request never comes.
+	headerTimeout = 10 * time.Second
+	// clientIdle is above the idle time that operators allow clients, 15 s by default.
+	clientIdle = 60 * time.Second
+	// housekeepingEvery is the time between two sweeps of idle connections and old crash marks.
+	housekeepingEvery = time.Second
+	// quarantineMarks and quarantineSuccesses bound the memory of the quarantine to about 1 MB.
+	quarantineMarks     = 2048
+	quarantineSuccesses = 4096
+)
+
+// ErrListen means that a listener could not be opened.
+var ErrListen = errors.New("sidecar: cannot listen")
+
+// Ports connects a node with its surroundings.
+type Ports struct {
+	Store         kvstore.Store
+	Configuration ConfigurationSource
+	Headers       Headers
+	// MountHeartbeats and MountReady add the platform's paths to a server.
+	MountHeartbeats func(*echo.Echo, HeartbeatHandler)
+	MountReady      func(*echo.Echo, func() bool)
+}
+
+// Node is one process of the system.
+type Node struct {
+	current     atomic.Pointer[Settings]
+	ports       Ports
+	store       kvstore.Store
+	source      ConfigurationSource
+	headers     Headers
+	log         *decisionLog
+	incarnation uint64
+	stopping    atomic.Bool
+
+	configuration *configuration
+	registry      *registry
+	gossip        *gossip
+	local         *local
+	shares        *ratelimit.Shares
+	picker        *balance.LatencyPicker
+	repeats       *retry.Window
+	quarantine    *quarantine.List
+	upstreams     *upstream.Direct
+	forwarder     *peer.Forwarder
+	metrics       *metrics
+	sequence      atomic.Uint64
+	entered       atomic.Int64 // requests in progress that entered here
+	accepted      atomic.Int64 // forwarded calls in progress
+
+	servers []*server
+	tasks   sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// server is one listener with its HTTP server.
+type server struct {
+	name     string
+	address  string
+	http     *http.Server
+	listener net.Listener
+}
+
+// New returns a node that is not yet listening. The incarnation must be higher than that of every earlier
+// process with the same name; the start time in nanoseconds serves.
+func New(settings *Settings, ports Ports, log zerolog.Logger, incarnation uint64) *Node {
+	n := &Node{
+		ports: ports, store: ports.Store, source: ports.Configuration, headers: ports.Headers,
+		log: newDecisionLog(log), incarnation: incarnation,
+		shares:     ratelimit.NewShares(ratelimit.DefaultSharesConfig()),
+		picker:     balance.NewLatencyPicker(balance.DefaultLatencyConfig(), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
+		repeats:    retry.NewWindow(retry.WindowLimits{}),
+		quarantine: newQuarantine(),
+		forwarder:  peer.NewForwarder(settings.Node),
+	}
+	n.current.Store(settings)
+	n.upstreams = upstream.NewDirect(func(answer http.Header, requestID string) bool {
+		id := n.headers.ReadAnswer(answer).RequestID
+		return id == requestID || id == "" // some refusals of an upstream name no request
+	})
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.metrics = newMetrics(n)
+	n.configuration = newConfiguration(n)
+	n.registry = newRegistry(n)
+	n.gossip = newGossip(n)
+	n.local = &local{node: n}
+	return n
+}
+
+func newQuarantine() *quarantine.List {
+	config := quarantine.DefaultConfig()
+	config.MarkLimit, config.SuccessLimit = quarantineMarks, quarantineSuccesses
+	return quarantine.NewList(config)
+}
+
+func (n *Node) settings() *Settings { return n.current.Load() }
+
+// Reload takes in changed settings. Addresses and the node's name stay as they were at the start.
+func (n *Node) Reload(next *Settings) {
+	old := n.settings()
+	merged := *next
+	merged.Node, merged.RequestAddress, merged.PeerAddress = old.Node, old.RequestAddress, old.PeerAddress
+	merged.ControlAddress, merged.HeartbeatAddress, merged.ReadyAddress = old.ControlAddress, old.HeartbeatAddress, old.ReadyAddress
+	merged.StoreAddress = old.StoreAddress
+	n.current.Store(&merged)
+	n.log.event("reload").Str("service", merged.Service).Str("upstream", merged.UpstreamAddress).Msg("settings reloaded")
+	n.registry.publish()
+}
+
+// Start opens the listeners and starts the background tasks.
+func (n *Node) Start() error {
+	s := n.settings()
+	n.servers = []*server{
+		{name: "requests", address: s.RequestAddress, http: &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: clientIdle}},
+		{name: "peers", address: s.PeerAddress, http: &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}},
+		{name: "control", address: s.ControlAddress, http: &http.Server{Handler: n.controlHandler()}},
+		{name: "heartbeats", address: s.HeartbeatAddress, http: &http.Server{Handler: n.heartbeatHandler()}},
+		{name: "ready", address: s.ReadyAddress, http: &http.Server{Handler: n.readyHandler()}},
+	}
+	for _, server := range n.servers {
+		server.http.ReadHeaderTimeout = headerTimeout
+		server.http.ErrorLog = stdlog.New(n.log.log.With().Str("listener", server.name).Logger(), "", 0)
+		listener, err := net.Listen("tcp4", server.address)
+		if err != nil {
+			for _, open := range n.servers {
+				if open.listener != nil {
+					_ = open.listener.Close()
+				}
+			}
+			return fmt.Errorf("%w: %s: %w", ErrListen, server.name, err)
+		}
+		server.listener = listener
+	}
+	n.registry.publish()
+	for _, task := range []func(context.Context){
+		n.configuration.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeWhenConfigured,
+	} {
+		n.tasks.Go(func() { task(n.ctx) })
+	}
+	for _, server := range n.servers {
+		n.tasks.Go(func() {
+			if err := server.http.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+				n.log.event("listener_failed").Str("listener", server.name).Err(err).Msg("listener failed")
+			}
+		})
+	}
+	n.log.event("start").Uint64("incarnation", n.incarnation).Str("requests", s.RequestAddress).Str("peers", s.PeerAddress).
+		Str("service", s.Service).Msg("node started")
+	return nil
+}
+
+func (n *Node) probeWhenConfigured(ctx context.Context) {
+	select {
+	case <-n.configuration.known:
+		n.local.probe(ctx)
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) housekeeping(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.upstreams.Sweep()
+		n.forwarder.Sweep()
+		n.quarantine.Expire(time.Now())
+		n.updateRepeatLimits()
+		sleep(ctx, housekeepingEvery)
+	}
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func (n *Node) controlHandler() http.Handler {
+	e := newEcho()
+	gossipServer := gossipv1.NewGossipServer(n.gossip)
+	e.Any(gossipServer.PathPrefix()+"*", echo.WrapHandler(gossipServer))
+	e.GET("/debug/vars", echo.WrapHandler(n.metrics.handler()))
+	return e
+}
+
+func (n *Node) heartbeatHandler() http.Handler {
+	e := newEcho()
+	n.ports.MountHeartbeats(e, n)
+	return e
+}
+
+func (n *Node) readyHandler() http.Handler {
+	e := newEcho()
+	n.ports.MountReady(e, n.ready)
+	return e
+}
+
+// ready tells whether clients may use this node.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.configuration.current.Load() != nil
+}
