Give repeats after a run a part of their own in the limit for repeated sends

A leaf service refused half of its calls, every service above it failed, and each node repeated failed calls at every depth; the calls of a repeated run count as repeats below it. Change: retry.Window bounds repeats to 0.6 of the operators' limit, and those of requests that may have run to a fifth of that, so that a chain of four failing services stays within the limit.

--- a/retry/window.go
+++ b/retry/window.go
@@ -22,6 +22,10 @@
 	Ratio float64
 	// Slack is the number of repeated sends that is always allowed.
 	Slack float64
+	// AfterRunShare is the part of Ratio and Slack for requests that may have run. Such a request makes its
+	// own calls once more, which count as repeats at every service below it, where no node can tell them from
+	// others. The part must therefore be small enough for a chain of calls that fail at every depth.
+	AfterRunShare float64
 }
 
 // windowSlots is the number of parts of a window; the part that is leaving it counts whole.
@@ -31,6 +35,8 @@
 	slot     int64
 	requests [windowSlots]float64
 	repeats  [windowSlots + 1]float64
+	// afterRun is the part of repeats that may make their calls once more.
+	afterRun [windowSlots + 1]float64
 }
 
 // NewWindow returns a Window.
@@ -53,25 +59,32 @@
 	c.requests[c.slot%windowSlots]++
 }
 
-// Repeat reports whether a request may be sent once more, and counts it if so.
-func (w *Window) Repeat(service string, now time.Time) bool {
+// Repeat reports whether a request may be sent once more, and counts it if so. ran tells that an earlier
+// send may have run.
+func (w *Window) Repeat(service string, ran bool, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.counts(service, now)
-	requests, repeats := 0.0, 0.0
-	for _, n := range c.requests {
-		requests += n
-	}
-	for _, n := range c.repeats {
-		repeats += n
-	}
-	if repeats+1 > w.limits.Ratio*requests+w.limits.Slack {
+	allowed := w.limits.Ratio*sum(c.requests[:]) + w.limits.Slack
+	if sum(c.repeats[:])+1 > allowed || ran && sum(c.afterRun[:])+1 > allowed*w.limits.AfterRunShare {
 		return false
 	}
-	c.repeats[c.slot%(windowSlots+1)]++
+	slot := c.slot % (windowSlots + 1)
+	c.repeats[slot]++
+	if ran {
+		c.afterRun[slot]++
+	}
 	return true
 }
 
+func sum(counts []float64) float64 {
+	total := 0.0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // counts returns the counts of a service after forgetting what has left the window.
 func (w *Window) counts(service string, now time.Time) *windowCounts {
 	slot := now.UnixNano() / max(1, int64(w.limits.Length)/windowSlots)
@@ -84,6 +97,7 @@
 		c.slot++
 		c.requests[c.slot%windowSlots] = 0
 		c.repeats[c.slot%(windowSlots+1)] = 0
+		c.afterRun[c.slot%(windowSlots+1)] = 0
 	}
 	c.slot = max(c.slot, slot)
 	return c
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -29,9 +29,12 @@
 	hedgeMinimum = 60 * time.Millisecond
 	// hedgeShare of the target latency is when the second upstream is asked at the earliest.
 	hedgeShare = 3
-	// repeatShare is the part of the operators' limit for repeated sends that is used. Calls made by a
-	// repeated request count as repeats of their services, which the node cannot see.
-	repeatShare = 0.5
+	// repeatShare is the part of the operators' limit for repeated sends that is used. The rest is for calls
+	// made by repeated requests, which count as repeats but cannot be told from others.
+	repeatShare = 0.6
+	// afterRunShare of that is for requests that may have run and make their calls once more: with four
+	// services in a chain, 0.6 + 3 * 0.6 * 0.2 stays within the limit.
+	afterRunShare = 0.2
 	// reserveSlack is added to the longest queue delay for the way to the destination and back.
 	reserveSlack = 200 * time.Millisecond
 )
@@ -40,7 +43,9 @@
 func (n *Node) updateRepeatLimits() {
 	s := n.settings()
 	nodes := float64(len(n.registry.others()) + 1)
-	n.repeats.SetLimits(retry.WindowLimits{Length: s.RetryWindow, Ratio: s.RetryRatio * repeatShare, Slack: s.RetrySlack * repeatShare / nodes})
+	n.repeats.SetLimits(retry.WindowLimits{
+		Length: s.RetryWindow, Ratio: s.RetryRatio * repeatShare, Slack: s.RetrySlack * repeatShare / nodes, AfterRunShare: afterRunShare,
+	})
 }
 
 // dispatcher is the state of one request over its attempts.
@@ -121,7 +126,7 @@
 	for running > 0 {
 		select {
 		case <-hedge.C:
-			if d.repeatAllowed() {
+			if d.repeatAllowed(true) {
 				d.node.metrics.repeats.Add("hedge", 1)
 				launch()
 			}
@@ -137,7 +142,7 @@
 			if result.refusal == nil {
 				d.discard(failed)
 				failed = result.answer
-				if running == 0 && d.repeatAllowed() {
+				if running == 0 && d.repeatAllowed(true) {
 					d.node.metrics.repeats.Add("failure", 1)
 					launch()
 				}
@@ -278,20 +283,21 @@
 	if refusal.Outcome == call.MayHaveRun && !d.entry.req.Idempotent {
 		return false
 	}
-	if !d.repeatAllowed() {
+	if !d.repeatAllowed(refusal.Outcome == call.MayHaveRun) {
 		return false
 	}
 	d.node.metrics.repeats.Add("refusal", 1)
 	return true
 }
 
-// repeatAllowed takes one repeated send from the limits of the route and the service.
-func (d *dispatcher) repeatAllowed() bool {
+// repeatAllowed takes one repeated send from the limits of the route and the service. ran tells that an
+// earlier send may have run.
+func (d *dispatcher) repeatAllowed(ran bool) bool {
 	attempts := d.entry.route.MaxAttempts
 	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
-	if d.runs+1 >= attempts || !d.node.repeats.Repeat(d.entry.req.Service, time.Now()) {
+	if d.runs+1 >= attempts || !d.node.repeats.Repeat(d.entry.req.Service, ran, time.Now()) {
 		return false
 	}
 	d.runs++
