Leave a hundredth of a rate to nodes without demand

Cause: TestSharesUseOfRate used 0.9486 of the rate with a fiftieth left to idle nodes; the goal is 0.95. Change: IdleDemand 0.02 -> 0.01.

--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -35,7 +35,7 @@
 		RiseMemory:     500 * time.Millisecond,  // one round of exchanges
 		FallMemory:     3 * time.Second,         // some requests of a client that sends one in a second
 		ReportLifetime: 1500 * time.Millisecond, // three exchanges
-		IdleDemand:     0.02,                    // leaves a fiftieth of the rate to nodes without demand
+		IdleDemand:     0.01,                    // leaves a hundredth of the rate to nodes without demand
 		MinimumBurst:   1,                       // below it nothing is admitted
 		Settle:         1200 * time.Millisecond, // three times the time-out of an exchange
 		Damping:        0.6,                     // nine tenths of a change within 1.5 s
