Keep connections between nodes after a refusal

The sender, for its part, closed every connection that carried a refusal, also after it had been given back to the pool. Change: the destination reads the end of the refused body within its handler; the sender leaves the connection to the pool. Figures: 20 refused calls: 20 connections before, 1 after; no panic in the server's log.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -81,7 +81,9 @@
 	answer, err := f.exchange(conn, to, req, reserve)
 	if err != nil {
 		stop()
-		conn.Close()
+		if refusal := (*call.Refusal)(nil); !errors.As(err, &refusal) {
+			conn.Close() // a refusal of the destination has left it to the pool
+		}
 		return nil, forwardRefusal(ctx, err)
 	}
 	if answer.Buffered {
@@ -114,6 +116,7 @@
 func (f *Forwarder) exchange(conn *httpconn.Conn, to Destination, req *call.Request, reserve time.Duration) (*call.Answer, error) {
 	head, err := f.head(to, req)
 	if err != nil {
+		conn.Close()
 		return nil, err
 	}
 	conn.SetDeadline(req.Deadline.Add(bodyGrace))
@@ -173,7 +176,9 @@
 	if err != nil || meta.GetRefusal() == nil || meta.CallId != req.CallID || meta.GetRefusal().GetMayHaveRun() {
 		return fmt.Errorf("%w: status %d", ErrNoReservation, response.Status)
 	}
-	if conn.WriteBody(nil, -1) == nil {
+	if err := conn.WriteBody(nil, -1); err != nil {
+		conn.Close()
+	} else {
 		conn.Release(response)
 	}
 	return decodeRefusal(meta)
@@ -204,6 +209,7 @@
 	if meta.GetRefusal() != nil {
 		if !answer.Buffered {
 			_ = answer.Body.Close()
+			conn.Close()
 		}
 		return nil, decodeRefusal(meta)
 	}
@@ -291,7 +297,15 @@
 			meta.Load = encodeLoad(*refusal.Load)
 		}
 		a.writeMetadata(w, meta)
+		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(refusal.Status())
+		if reserve {
+			// The sender ends the body that it now keeps. net/http would read that end after it has stopped
+			// watching the connection, and panic.
+			_ = controller.Flush()
+			_ = controller.SetReadDeadline(time.Now().Add(bodyGrace))
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
 		return
 	}
 	meta.Load = encodeLoad(answer.Load)
--- /dev/null
+++ b/peer/forward_test.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/call"
+)
+
+// acceptor is a destination whose decision is a function.
+type acceptor func(ctx context.Context, incoming *Incoming, reserved func() error) (*call.Answer, error)
+
+// HandleForwarded implements AcceptHandler.
+func (f acceptor) HandleForwarded(ctx context.Context, incoming *Incoming, reserved func() error) (*call.Answer, error) {
+	return f(ctx, incoming, reserved)
+}
+
+// lockedBuffer collects what a server logs.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// startAcceptor serves a destination on loopback and returns its address, the number of connections to it
+// and its log.
+func startAcceptor(t *testing.T, handler AcceptHandler) (string, *atomic.Int64, *lockedBuffer) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	var connections atomic.Int64
+	log := &lockedBuffer{}
+	server := &http.Server{
+		Handler: NewAcceptor(handler), ErrorLog: stdlog.New(log, "", 0),
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		},
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), &connections, log
+}
+
+func forwardRequest(idempotent bool, body string) *call.Request {
+	return &call.Request{
+		Context: call.Context{CallID: "c1", RequestID: "r1", Service: "s", Idempotent: idempotent, Deadline: time.Now().Add(2 * time.Second)},
+		Method:  http.MethodPost, Target: "/a/b?c=d", Host: "h.example", Header: http.Header{"X-Kept": {"1"}},
+		Body: strings.NewReader(body), ContentLength: int64(len(body)),
+	}
+}
+
+func echo(_ context.Context, incoming *Incoming, reserved func() error) (*call.Answer, error) {
+	if err := reserved(); err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(incoming.Body)
+	if err != nil {
+		return nil, err
+	}
+	text := incoming.Method + " " + incoming.Host + incoming.Target + " " + incoming.Header.Get("X-Kept") + " " + string(data)
+	return &call.Answer{Status: http.StatusOK, Header: http.Header{}, Body: call.BytesBody([]byte(text)), ContentLength: int64(len(text)), Buffered: true}, nil
+}
+
+// A call passes whole and unchanged, with and without a reservation, and its connection is used again.
+func TestForwardPassesCalls(t *testing.T) {
+	address, connections, log := startAcceptor(t, acceptor(echo))
+	f := NewForwarder("n1")
+	defer f.Close()
+	for _, idempotent := range []bool{true, false} {
+		for _, body := range []string{"", "small", strings.Repeat("x", 40<<10)} {
+			answer, err := f.Forward(t.Context(), Destination{Address: address}, forwardRequest(idempotent, body), time.Second)
+			must.NoError(t, err)
+			data, err := io.ReadAll(answer.Body)
+			must.NoError(t, err)
+			must.Eq(t, "POST h.example/a/b?c=d 1 "+body, string(data))
+		}
+	}
+	must.Eq(t, 1, connections.Load())
+	must.Eq(t, "", log.String())
+}
+
+// A refusal before the reservation leaves the body unsent and the connection usable. The server used to
+// panic here, because it read the end of the body after the handler had returned.
+func TestForwardRefusedReservation(t *testing.T) {
+	address, connections, log := startAcceptor(t, acceptor(func(context.Context, *Incoming, func() error) (*call.Answer, error) {
+		return nil, call.NewRefusal(call.CodeOverloaded, call.NotRun, "full")
+	}))
+	f := NewForwarder("n1")
+	defer f.Close()
+	for range 20 {
+		req := forwardRequest(false, strings.Repeat("x", 100<<10))
+		_, err := f.Forward(t.Context(), Destination{Address: address}, req, time.Second)
+		refusal := call.AsRefusal(err)
+		must.Eq(t, call.CodeOverloaded, refusal.Code)
+		must.Eq(t, call.NotRun, refusal.Outcome)
+		left, err := io.ReadAll(req.Body)
+		must.NoError(t, err)
+		must.Len(t, 100<<10, left, must.Sprint("the body was begun"))
+	}
+	must.Eq(t, 1, connections.Load())
+	must.Eq(t, "", log.String())
+}
+
+// A destination that does not answer in time has certainly not run the call, and does not run it later.
+func TestForwardSilentDestination(t *testing.T) {
+	release := make(chan struct{})
+	ran := make(chan error, 1)
+	address, _, _ := startAcceptor(t, acceptor(func(_ context.Context, _ *Incoming, reserved func() error) (*call.Answer, error) {
+		<-release
+		ran <- reserved()
+		return nil, errors.New("not reached by the sender")
+	}))
+	f := NewForwarder("n1")
+	defer f.Close()
+	_, err := f.Forward(t.Context(), Destination{Address: address}, forwardRequest(false, ""), 50*time.Millisecond)
+	must.Eq(t, call.NotRun, call.AsRefusal(err).Outcome)
+	close(release)
+	must.Error(t, <-ran, must.Sprint("the destination must see that the sender gave up"))
+}
+
+// After the body was sent a lost answer says nothing about the call.
+func TestForwardLostAnswer(t *testing.T) {
+	address, _, _ := startAcceptor(t, acceptor(func(_ context.Context, _ *Incoming, reserved func() error) (*call.Answer, error) {
+		if err := reserved(); err != nil {
+			return nil, err
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	f := NewForwarder("n1")
+	defer f.Close()
+	_, err := f.Forward(t.Context(), Destination{Address: address}, forwardRequest(false, "x"), time.Second)
+	must.Eq(t, call.MayHaveRun, call.AsRefusal(err).Outcome)
+}
