Suspect a whole failure domain, and space the calls of an absent store

While the store was down each node made about ten calls a second, all priced, and every node read the configuration each second though others had just. Change: after one failed connection the other upstreams of that domain count as 150 ms slower for 1 s unless they answer; calls of the store back off to one a second for each task; the configuration is read when its age, which exchanges relay, reaches a second.

--- a/balance/latency.go
+++ b/balance/latency.go
@@ -38,6 +38,11 @@
 	// each further one up to UnreachableLimit.
 	UnreachableTime  time.Duration
 	UnreachableLimit time.Duration
+	// DomainSuspicion is how long the upstreams of a whole failure domain count as slower by
+	// SuspicionPenalty after one of them was unreachable, unless they answer meanwhile. A domain that is cut
+	// off would otherwise be found out upstream by upstream.
+	DomainSuspicion  time.Duration
+	SuspicionPenalty time.Duration
 }
 
 // DefaultLatencyConfig returns the values used by cowslip-sidecar.
@@ -56,6 +61,8 @@
 		SignalLifetime:   500 * time.Millisecond,  // as in DefaultConfig
 		UnreachableTime:  500 * time.Millisecond,  // a process restarts in about that time
 		UnreachableLimit: 2 * time.Second,         // one lost call in 2 s per service and node is affordable
+		DomainSuspicion:  time.Second,             // two rounds of the failure detector
+		SuspicionPenalty: 150 * time.Millisecond,  // what a failed connection costs
 	}
 }
 
@@ -89,6 +96,10 @@
 
 	mu       sync.RWMutex
 	services map[string]*latencyService
+
+	// suspected is when an upstream of a failure domain was last unreachable.
+	suspectedMu sync.Mutex
+	suspected   map[string]time.Time
 }
 
 type latencyService struct {
@@ -110,6 +121,7 @@
 
 	unreachable      int
 	unreachableUntil time.Time
+	reachedAt        time.Time
 
 	signal         call.Load
 	signalAt       time.Time
@@ -123,7 +135,7 @@
 
 // NewLatencyPicker returns a picker without services.
 func NewLatencyPicker(config LatencyConfig, origin Origin) *LatencyPicker {
-	return &LatencyPicker{config: config, origin: origin, services: map[string]*latencyService{}}
+	return &LatencyPicker{config: config, origin: origin, services: map[string]*latencyService{}, suspected: map[string]time.Time{}}
 }
 
 // SetCandidates replaces the candidates of a service. What is known about those that stay is kept; an
@@ -183,9 +195,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kib := (float64(query.Bytes) + s.sizes[query.Route]) / 1024
-	best := s.best(&p.config, query, kib, now, random, false)
+	best := s.best(p, query, kib, now, random, false)
 	if best == nil {
-		best = s.best(&p.config, query, kib, now, random, true)
+		best = s.best(p, query, kib, now, random, true)
 	}
 	if best == nil {
 		return Candidate{}, ErrNoUpstream
@@ -194,9 +206,10 @@
 	return best.Candidate, nil
 }
 
-func (s *latencyService) best(config *LatencyConfig, query LatencyQuery, kib float64, now time.Time, random *rand.Rand, unreachable bool) *latencyUpstream {
+func (s *latencyService) best(p *LatencyPicker, query LatencyQuery, kib float64, now time.Time, random *rand.Rand, unreachable bool) *latencyUpstream {
 	var best *latencyUpstream
 	var bestCost float64
+	config := &p.config
 	reference := s.fastest(query.Route)
 	for _, u := range s.upstreams {
 		if u.drains(config, now) || slices.Contains(query.Exclude, u.ID) || now.Before(u.unreachableUntil) != unreachable {
@@ -204,6 +217,9 @@
 		}
 		// A few percent of noise keeps nodes with the same knowledge from acting in step.
 		cost := u.cost(config, query, reference, kib, now) * (1 + costNoise*random.Float64())
+		if u.tier != ownDomain && p.suspects(u, now) {
+			cost += config.SuspicionPenalty.Seconds()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
@@ -211,6 +227,20 @@
 	return best
 }
 
+// suspects tells whether the failure domain of an upstream is suspected of being cut off.
+func (p *LatencyPicker) suspects(u *latencyUpstream, now time.Time) bool {
+	p.suspectedMu.Lock()
+	defer p.suspectedMu.Unlock()
+	at, ok := p.suspected[u.FailureDomain]
+	return ok && now.Sub(at) < p.config.DomainSuspicion && u.reachedAt.Before(at)
+}
+
+func (p *LatencyPicker) suspect(domain string, now time.Time) {
+	p.suspectedMu.Lock()
+	defer p.suspectedMu.Unlock()
+	p.suspected[domain] = now
+}
+
 const (
 	// costNoise is the largest random addition to a cost, as a share of it.
 	costNoise = 0.1
@@ -303,12 +333,12 @@
 	}
 	switch result.Outcome {
 	case Answered:
-		u.reached()
+		u.reached(now)
 		u.fail(&p.config, 0, now)
 		u.learn(&p.config, route, result.Latency, now)
 		s.sizes[route] += (float64(result.Bytes) - s.sizes[route]) * p.config.SampleWeight
 	case Declined:
-		u.reached()
+		u.reached(now)
 	case Failed:
 		u.fail(&p.config, 1, now)
 	case TimedOut:
@@ -318,6 +348,7 @@
 		u.unreachable++
 		wait := p.config.UnreachableTime << min(u.unreachable-1, maxDoublings)
 		u.unreachableUntil = now.Add(min(wait, p.config.UnreachableLimit))
+		p.suspect(u.FailureDomain, now)
 	}
 }
 
@@ -331,17 +362,18 @@
 			switch {
 			case u.Node != node:
 			case reachable:
-				u.reached()
+				u.reached(now)
 			default:
 				u.unreachableUntil = now.Add(p.config.UnreachableLimit)
+				p.suspect(u.FailureDomain, now)
 			}
 		}
 		s.mu.Unlock()
 	}
 }
 
-func (u *latencyUpstream) reached() {
-	u.unreachable, u.unreachableUntil = 0, time.Time{}
+func (u *latencyUpstream) reached(now time.Time) {
+	u.unreachable, u.unreachableUntil, u.reachedAt = 0, time.Time{}, now
 }
 
 func (u *latencyUpstream) fail(config *LatencyConfig, sample float64, now time.Time) {
--- /dev/null
+++ b/balance/latency_test.go
@@ -0,0 +1,128 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/call"
+)
+
+// latencyFixture has three upstreams of a service, one in each failure domain, seen from domain d0.
+type latencyFixture struct {
+	picker *LatencyPicker
+	random *rand.Rand
+	now    time.Time
+}
+
+func newLatencyFixture() *latencyFixture {
+	f := &latencyFixture{
+		picker: NewLatencyPicker(DefaultLatencyConfig(), Origin{Node: "n", FailureDomain: "d0", Region: "r"}),
+		random: rand.New(rand.NewPCG(1, 1)),
+		now:    time.Unix(1000, 0),
+	}
+	var candidates []Candidate
+	for i := range 3 {
+		candidates = append(candidates, Candidate{
+			ID: ID{Node: fmt.Sprintf("n%d", i), Incarnation: 1}, FailureDomain: fmt.Sprintf("d%d", i), Region: "r", Slots: 50,
+		})
+	}
+	f.picker.SetCandidates("s", candidates)
+	return f
+}
+
+// run sends calls one after the other and returns how many each upstream got.
+func (f *latencyFixture) run(t *testing.T, calls int, bytes int64, outcome func(node string) LatencyResult) map[string]int {
+	t.Helper()
+	got := map[string]int{}
+	for range calls {
+		choice, err := f.picker.Pick("s", LatencyQuery{Route: "a", Bytes: bytes}, f.now, f.random)
+		must.NoError(t, err)
+		got[choice.Node]++
+		result := outcome(choice.Node)
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.picker.Done("s", choice.ID, "a", result, f.now)
+	}
+	return got
+}
+
+func latencies(ms ...int) func(string) LatencyResult {
+	return func(node string) LatencyResult {
+		return LatencyResult{Latency: time.Duration(ms[node[1]-'0']) * time.Millisecond}
+	}
+}
+
+// The fastest upstream gets most calls, and a slow one is still tried now and then.
+func TestLatencyPickerPrefersFast(t *testing.T) {
+	f := newLatencyFixture()
+	got := f.run(t, 1000, 0, latencies(200, 50, 120))
+	must.Greater(t, 900, got["n1"])
+	must.Greater(t, 0, got["n0"])
+}
+
+// The own domain is preferred where the difference is small, and for large bodies also where it is not.
+func TestLatencyPickerStaysInDomain(t *testing.T) {
+	f := newLatencyFixture()
+	must.Greater(t, 900, f.run(t, 1000, 0, latencies(20, 19, 19))["n0"])
+	f = newLatencyFixture()
+	must.Greater(t, 900, f.run(t, 1000, 60<<10, latencies(200, 50, 50))["n0"])
+}
+
+// An upstream that fails gets few calls until it recovers.
+func TestLatencyPickerAvoidsFailures(t *testing.T) {
+	f := newLatencyFixture()
+	failing := func(node string) LatencyResult {
+		if node == "n0" {
+			return LatencyResult{Outcome: Failed, Latency: time.Millisecond}
+		}
+		return LatencyResult{Latency: 50 * time.Millisecond}
+	}
+	must.Less(t, 100, f.run(t, 1000, 0, failing)["n0"])
+	f.now = f.now.Add(10 * time.Second)
+	must.Greater(t, 500, f.run(t, 1000, 0, latencies(20, 50, 50))["n0"])
+}
+
+// One failed connection is enough to leave an upstream alone for a time, and makes the rest of its domain
+// suspect.
+func TestLatencyPickerUnreachable(t *testing.T) {
+	f := newLatencyFixture()
+	f.picker.SetCandidates("t", []Candidate{
+		{ID: ID{Node: "near"}, FailureDomain: "d0", Region: "r", Slots: 50},
+		{ID: ID{Node: "far"}, FailureDomain: "d1", Region: "r", Slots: 50},
+	})
+	for _, id := range []string{"near", "far"} {
+		f.picker.Done("t", ID{Node: id}, "b", LatencyResult{Latency: map[string]time.Duration{"near": 100 * time.Millisecond, "far": 20 * time.Millisecond}[id]}, f.now)
+	}
+	pick := func() string {
+		choice, err := f.picker.Pick("t", LatencyQuery{Route: "b"}, f.now, f.random)
+		must.NoError(t, err)
+		f.picker.Done("t", choice.ID, "b", LatencyResult{Outcome: Abandoned}, f.now)
+		return choice.Node
+	}
+	must.Eq(t, "far", pick())
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.picker.Done("s", ID{Node: "n1", Incarnation: 1}, "a", LatencyResult{Outcome: Unreachable}, f.now)
+	must.Eq(t, "near", pick(), must.Sprint("another upstream of domain d1 was unreachable"))
+	got := f.run(t, 20, 0, latencies(50, 1, 50))
+	must.Eq(t, 0, got["n1"])
+	f.now = f.now.Add(3 * time.Second)
+	must.Eq(t, "far", pick())
+}
+
+// When every upstream is unreachable, one is tried all the same, and a drained one never is.
+func TestLatencyPickerLastResort(t *testing.T) {
+	f := newLatencyFixture()
+	for i := range 3 {
+		f.picker.Done("s", ID{Node: fmt.Sprintf("n%d", i), Incarnation: 1}, "a", LatencyResult{Outcome: Unreachable}, f.now)
+	}
+	_, err := f.picker.Pick("s", LatencyQuery{Route: "a"}, f.now, f.random)
+	must.NoError(t, err)
+	for i := range 3 {
+		f.picker.Done("s", ID{Node: fmt.Sprintf("n%d", i), Incarnation: 1}, "a", LatencyResult{Outcome: Declined, Load: &call.Load{Draining: true}}, f.now)
+	}
+	_, err = f.picker.Pick("s", LatencyQuery{Route: "a"}, f.now, f.random)
+	must.ErrorIs(t, err, ErrNoUpstream)
+}
--- a/sidecar/clock.go
+++ b/sidecar/clock.go
@@ -40,3 +40,21 @@
 
 // Uint64 implements rand.Source.
 func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// storeBackoff spaces the calls of one task while the store is away, since refused calls have a price as
+// well. It must notice the store's return well within two seconds.
+type storeBackoff struct{ failures int }
+
+const (
+	storeBackoffFirst = 250 * time.Millisecond
+	storeBackoffLimit = time.Second
+)
+
+// failed returns the wait before the next try.
+func (b *storeBackoff) failed() time.Duration {
+	wait := min(storeBackoffLimit, storeBackoffFirst<<min(b.failures, 8))
+	b.failures++
+	return jittered(wait)
+}
+
+func (b *storeBackoff) succeeded() { b.failures = 0 }
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -15,8 +15,6 @@
 	// configurationEvery is the age at which the configuration is read again: half of the shortest usual time
 	// in which a change must be in force, 2 s. Reads of other nodes count, as exchanges relay their age.
 	configurationEvery = time.Second
-	// configurationRetry is the wait after a failed read.
-	configurationRetry = 250 * time.Millisecond
 	// storeTimeout bounds a call of the store; a slow store takes about 250 ms.
 	storeTimeout = time.Second
 	// withdrawalMargin is subtracted from the operators' time for withdrawn keys, for clocks that differ
@@ -121,7 +119,12 @@
 // run reads the configuration from the store until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	reachable := dependency{node: c.node, name: "store"}
+	var retry storeBackoff
 	for ctx.Err() == nil {
+		if wait := c.untilDue(); wait > 0 {
+			sleep(ctx, wait)
+			continue
+		}
 		start := leaseNow()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		raw, err := c.node.source.Read(callCtx)
@@ -134,11 +137,20 @@
 		}
 		reachable.report(err)
 		if err != nil || c.current.Load() == nil {
-			sleep(ctx, jittered(configurationRetry))
+			sleep(ctx, retry.failed())
 			continue
 		}
-		sleep(ctx, jittered(configurationEvery))
+		retry.succeeded()
+	}
+}
+
+// untilDue returns the time until the configuration should be read again.
+func (c *configuration) untilDue() time.Duration {
+	age, ok := c.age()
+	if !ok {
+		return 0
 	}
+	return jittered(configurationEvery) - age
 }
 
 // dependency logs when something that the node depends on is lost and regained.
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -19,8 +19,6 @@
 	leaseTime = 9 * time.Second
 	// renewEvery leaves three tries within the lease.
 	renewEvery = 2500 * time.Millisecond
-	// registryRetry is the wait after a failed call of the store.
-	registryRetry = 300 * time.Millisecond
 	// watchTime is how long a watch waits. A silent connection is found after it.
 	watchTime = 8 * time.Second
 	// watchPause collects changes that come together, since each answer of a watch is a call.
@@ -244,6 +242,7 @@
 // runWatch follows the entries of all nodes until ctx ends.
 func (r *registry) runWatch(ctx context.Context) {
 	reachable := dependency{node: r.node, name: "store watch"}
+	var retry storeBackoff
 	after := int64(0)
 	for ctx.Err() == nil {
 		var err error
@@ -255,9 +254,10 @@
 		reachable.report(err)
 		r.expire(err != nil)
 		if err != nil {
-			sleep(ctx, jittered(registryRetry))
+			sleep(ctx, retry.failed())
 			continue
 		}
+		retry.succeeded()
 		sleep(ctx, watchPause)
 	}
 }
@@ -326,15 +326,17 @@
 // runPublish keeps the own entry and its lease until ctx ends.
 func (r *registry) runPublish(ctx context.Context) {
 	p := publisher{registry: r}
+	var retry storeBackoff
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := p.step(callCtx)
 		cancel()
 		if err != nil {
 			r.node.log.event("registration_failed").Err(err).Msg("registration not written")
-			sleep(ctx, jittered(registryRetry))
+			sleep(ctx, retry.failed())
 			continue
 		}
+		retry.succeeded()
 		p.wait(ctx)
 	}
 }
