Throttle requests at the entry while calls below them are refused

Calls of running requests also waited behind new requests there. Change: nodes report services that refuse calls for lack of room; where requests enter, those of a route whose requests fail meanwhile are throttled by importance with the existing throttle. Calls that upstreams make rank above new requests.

--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -232,11 +232,13 @@
 			result.Outcome = balance.Failed
 		}
 		n.picker.Done(attempt.Service, choice.ID, attempt.Route, result, end)
+		n.overload.observe(attempt.Service, false, end)
 		return answer, nil
 	}
 	refusal := call.AsRefusal(err)
 	result.Load, result.Outcome = refusal.Load, refusalOutcome(refusal)
 	n.picker.Done(attempt.Service, choice.ID, attempt.Route, result, end)
+	n.overload.observe(attempt.Service, lacksRoom(refusal), end)
 	if event := n.log.event("attempt_failed"); event != nil {
 		event.Str("request_id", attempt.RequestID).Str("route", attempt.Route).Str("destination", choice.Node).
 			Str("code", string(refusal.Code)).Str("outcome", refusal.Outcome.String()).Str("reason", refusal.Message).
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -36,6 +36,8 @@
 	req    *call.Request
 	body   *replayBody
 	start  time.Time
+	// throttled means that the request was refused because of how others ended.
+	throttled bool
 }
 
 // ServeHTTP takes the requests of clients and of the upstream on this VM.
@@ -46,6 +48,7 @@
 	e := &entry{fields: n.headers.TakeRequest(r.Header), start: start}
 	answer, refusal := n.serve(w, r, e)
 	took := time.Since(start)
+	n.observeRequest(e, answer, refusal)
 	n.metrics.request(refusal, took)
 	n.logRequest(r, e, answer, refusal, took)
 	if n.stopping.Load() {
@@ -62,6 +65,9 @@
 	if refusal := n.admit(r, e); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := n.throttled(e); refusal != nil {
+		return nil, refusal
+	}
 	body, err := readBody(w, r, e.req.Deadline)
 	if err != nil {
 		return nil, bodyRefusal(err)
@@ -131,6 +137,10 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ContentLength: r.ContentLength,
 	}
 	if route.Open || p.document.Keyless {
+		if route.Open {
+			// A call of a running request: what was spent on the request is lost with it.
+			e.req.Importance = call.Critical
+		}
 		return nil
 	}
 	if !n.configuration.keysUsable() {
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -197,6 +197,7 @@
 	}
 	after := p.marksSent
 	g.mu.Unlock()
+	state.OverloadedServices = n.overload.own(time.Now())
 	message := n.shares.Message(peer, time.Now())
 	state.SharesJoined = message.Joined
 	for _, e := range message.Entries {
@@ -238,6 +239,7 @@
 		n.log.event("peer").Str("peer", state.Node).Str("outcome", "reachable").Msg("node answers again")
 	}
 	g.learnConfiguration(state, asked)
+	n.overload.hear(state.OverloadedServices, now)
 	n.shares.Receive(state.Node, shareMessage(state), now)
 	marks := make([]quarantine.Mark, 0, len(state.Marks))
 	for _, m := range state.Marks {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -34,6 +34,7 @@
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	"github.com/cowslipglade/cowslipglade/retry"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
+	"github.com/cowslipglade/cowslipglade/throttle"
 	"github.com/cowslipglade/cowslipglade/upstream"
 )
 
@@ -82,6 +83,8 @@
 	shares        *ratelimit.Shares
 	picker        *balance.LatencyPicker
 	repeats       *retry.Window
+	overload      *overload
+	throttle      *throttle.Throttle
 	quarantine    *quarantine.List
 	upstreams     *upstream.Direct
 	forwarder     *peer.Forwarder
@@ -113,6 +116,8 @@
 		shares:     ratelimit.NewShares(settings.Node, ratelimit.DefaultSharesConfig()),
 		picker:     balance.NewLatencyPicker(balance.DefaultLatencyConfig(), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewWindow(retry.WindowLimits{}),
+		overload:   newOverload(),
+		throttle:   throttle.New(throttle.DefaultConfig()),
 		quarantine: newQuarantine(),
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
@@ -205,6 +210,7 @@
 		n.upstreams.Sweep()
 		n.forwarder.Sweep()
 		n.quarantine.Expire(time.Now())
+		n.throttle.Expire(time.Now())
 		n.updateRepeatLimits()
 		n.log.event("quota_shares").Interface("workspaces", n.shares.Status()).Msg("shares")
 		sleep(ctx, housekeepingEvery)
