Test the path with real nodes, a store in memory and fake upstreams

The first run found that a node that has just started refused requests far below the rate: it held no tokens until they had accrued. A restarted node starts with half of its burst.

--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -244,6 +244,7 @@
 		}
 		if inherits {
 			b.share = entry.Remembered
+			b.tokens = float64(b.quota.Burst) * b.share * inheritedBurst
 		}
 		b.share += entry.Given
 	}
@@ -389,6 +390,10 @@
 	b.tokens = min(max(float64(b.quota.Burst)*share, minimum), b.tokens+b.quota.Rate*share*elapsed.Seconds())
 }
 
+// inheritedBurst is the part of its burst that a restarted node starts with. Its last process may have used
+// the whole just before.
+const inheritedBurst = 0.5
+
 // unjoinedPart of an equal share may be used in the moments before a node knows its share.
 const unjoinedPart = 0.5
 
--- /dev/null
+++ b/sidecar/fleet_test.go
@@ -0,0 +1,250 @@
+package sidecar_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cowslipglade/cowslipglade/kvstore"
+	"github.com/cowslipglade/cowslipglade/platform"
+	"github.com/cowslipglade/cowslipglade/sidecar"
+)
+
+// fleet is a few real nodes on loopback with a store in memory, each beside a fake upstream.
+type fleet struct {
+	t     *testing.T
+	store *kvstore.Memory
+	nodes []*fleetNode
+	logs  *logBuffer
+}
+
+// fleetNode is a node with its upstream.
+type fleetNode struct {
+	node     *sidecar.Node
+	settings *sidecar.Settings
+	upstream *fakeUpstream
+}
+
+// logBuffer collects the log lines of all nodes.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lines = append(b.lines, string(p))
+	return len(p), nil
+}
+
+// find returns the lines that contain all parts.
+func (b *logBuffer) find(parts ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for _, line := range b.lines {
+		all := true
+		for _, part := range parts {
+			all = all && strings.Contains(line, part)
+		}
+		if all {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// configuration is the operators' document of the tests: one service with an idempotent, a once-only and
+// an open route, and one workspace.
+const configuration = `{"version":"r%d","routes":[
+ {"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":2,"service":"s","maxAttempts":2},
+ {"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":0,"service":"s","maxAttempts":2},
+ {"name":"open","host":"h.example","prefix":"/open/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"s","maxAttempts":2,"authExempt":true}],
+ "services":[{"name":"s","healthPath":"/health","maxConnections":100}],
+ "tenants":[{"name":"w","apiKeys":[%s],"priority":1,"ratePerS":1000,"burst":1000}]}`
+
+func startFleet(t *testing.T, count int, behaviour func(node int) http.HandlerFunc) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: kvstore.NewMemory(time.Now), logs: &logBuffer{}}
+	f.configure(1, `"key-1"`)
+	for i := range count {
+		f.nodes = append(f.nodes, f.startNode(i, behaviour(i)))
+	}
+	for _, n := range f.nodes {
+		must.NoError(t, n.node.Heartbeat(n.beat(1, false)))
+	}
+	f.eventually(func() error {
+		for _, n := range f.nodes {
+			if status, body := f.vars(n); status != http.StatusOK || !strings.Contains(body, fmt.Sprintf(`"members": %d`, count)) {
+				return fmt.Errorf("%s does not know all members: %s", n.settings.Node, body)
+			} else if strings.Contains(body, `"share":0,`) {
+				return fmt.Errorf("%s holds no share of the rate: %s", n.settings.Node, body)
+			}
+		}
+		return nil
+	})
+	return f
+}
+
+// configure writes a configuration with the given keys, as JSON strings.
+func (f *fleet) configure(version int, keys string) {
+	f.t.Helper()
+	entry, err := f.store.Get(f.t.Context(), "op/config")
+	if err != nil {
+		must.ErrorIs(f.t, err, kvstore.ErrNotFound)
+	}
+	_, err = f.store.CompareAndSwap(f.t.Context(), "op/config", entry.Revision, fmt.Appendf(nil, configuration, version, keys), kvstore.NoLease)
+	must.NoError(f.t, err)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (f *fleet) startNode(i int, behaviour http.HandlerFunc) *fleetNode {
+	f.t.Helper()
+	up := startUpstream(f.t, fmt.Sprintf("i-%d", i), behaviour)
+	s := &sidecar.Settings{
+		Node: fmt.Sprintf("n%d", i), FailureDomain: fmt.Sprintf("d%d", i%2), Region: "r", Service: "s", UpstreamAddress: up.address,
+		RequestAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t),
+		HeartbeatAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), StoreAddress: "127.0.0.1:1",
+		HeartbeatEvery: time.Second, ShutdownTimeout: 6 * time.Second, DrainTime: 2 * time.Second, ConfigApplyTime: 2 * time.Second,
+		WithdrawalTime: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100,
+		QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
+	}
+	must.NoError(f.t, s.Check())
+	n := sidecar.New(s, sidecar.Ports{
+		Store: f.store, Configuration: platform.Configuration{Store: f.store}, Headers: platform.Headers{},
+		MountHeartbeats: func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
+		MountReady:      platform.MountReady,
+	}, zerolog.New(f.logs).With().Str("node", s.Node).Logger(), uint64(time.Now().UnixNano()))
+	must.NoError(f.t, n.Start())
+	f.t.Cleanup(n.Close)
+	return &fleetNode{node: n, settings: s, upstream: up}
+}
+
+func (n *fleetNode) beat(sequence int64, draining bool) sidecar.Heartbeat {
+	return sidecar.Heartbeat{
+		Instance: n.upstream.instance, Born: 1000, Sequence: sequence, Service: "s", Address: n.upstream.address, Slots: 8, Draining: draining,
+	}
+}
+
+func (f *fleet) eventually(check func() error) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.ErrorFunc(check), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+// vars returns the metrics of a node.
+func (f *fleet) vars(n *fleetNode) (int, string) {
+	response, err := http.Get("http://" + n.settings.ControlAddress + "/debug/vars")
+	must.NoError(f.t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	must.NoError(f.t, err)
+	return response.StatusCode, string(data)
+}
+
+// result is what a client sees.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send makes a request of a client at a node.
+func (f *fleet) send(n *fleetNode, method, path, id, key string, timeout time.Duration) result {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+n.settings.RequestAddress+path, strings.NewReader(""))
+	must.NoError(f.t, err)
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, string(data), err}
+}
+
+// fakeUpstream is a plain HTTP server that counts what it runs.
+type fakeUpstream struct {
+	instance string
+	address  string
+
+	mu   sync.Mutex
+	runs []*http.Request
+	gone int // runs whose connection was closed before they ended
+}
+
+func startUpstream(t *testing.T, instance string, behaviour http.HandlerFunc) *fakeUpstream {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	up := &fakeUpstream{instance: instance, address: listener.Addr().String()}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Instance-Id", instance)
+		if r.URL.Path == "/health" {
+			return
+		}
+		up.mu.Lock()
+		up.runs = append(up.runs, r)
+		up.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		behaviour(w, r)
+		if r.Context().Err() != nil {
+			up.mu.Lock()
+			up.gone++
+			up.mu.Unlock()
+		}
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return up
+}
+
+// ran returns the requests that an upstream has begun.
+func (up *fakeUpstream) ran() []*http.Request {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.runs
+}
+
+func (f *fleet) totalRuns() int {
+	total := 0
+	for _, n := range f.nodes {
+		total += len(n.upstream.ran())
+	}
+	return total
+}
+
+// answer is a proper answer that names its upstream.
+func answer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Response-Signature", "signed")
+	_ = json.NewEncoder(w).Encode(map[string]string{"from": w.Header().Get("Instance-Id")})
+}
+
+func always(behaviour http.HandlerFunc) func(int) http.HandlerFunc {
+	return func(int) http.HandlerFunc { return behaviour }
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -56,5 +56,16 @@
 	return errors.Join(errs...)
 }
 
+// Close ends the node at once, as a crash would, but for its goroutines.
+func (n *Node) Close() {
+	n.cancel()
+	for _, server := range n.servers {
+		_ = server.http.Close()
+	}
+	n.tasks.Wait()
+	n.forwarder.Close()
+	n.upstreams.Close()
+}
+
 // busy tells whether requests are in progress.
 func (n *Node) busy() bool { return n.entered.Load() > 0 || n.accepted.Load() > 0 }
