Show the way from a failed request's id to its cause, and let new workspaces start with tokens

Cause: TestExplainLostAnswer failed once with 429. Traced: a workspace that became known after the node had joined the fleet started with a share but no tokens; a test of that fails without the change. Change: a new workspace starts with its part of the burst. Tests follow the steps of the operators' page for a refusal by quota, a lost answer and a node cut off from the store. docs/operations.md is docs/OPERATIONS.md. The shares of rates are logged each 5 s and not each second.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,7 +78,7 @@
 
 // Guards against settings that the operators' page does not explain.
 func TestFieldsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	must.NoError(t, err)
 	node := reflect.TypeFor[Node]()
 	for i := range node.NumField() {
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -18,7 +18,7 @@
 	defer response.Body.Close()
 	var metrics map[string]any
 	must.NoError(t, json.NewDecoder(response.Body).Decode(&metrics))
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	must.NoError(t, err)
 	must.MapNotEmpty(t, metrics)
 	for name := range metrics {
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -155,6 +155,7 @@
 			s.workspaces[name] = b
 			if s.joined {
 				b.share = s.evenShare()
+				b.tokens = float64(quota.Burst) * b.share
 			}
 		}
 		b.quota = quota
--- a/ratelimit/shares_test.go
+++ b/ratelimit/shares_test.go
@@ -275,6 +275,22 @@
 	must.False(t, s.Adjust(now))
 }
 
+// A workspace that is added later may be used at once. It used to have no tokens at first.
+func TestSharesNewWorkspace(t *testing.T) {
+	s := NewShares("a", DefaultSharesConfig())
+	now := time.Unix(1, 0)
+	s.SetMembers(nil)
+	must.True(t, s.Adjust(now))
+	s.SetWorkspaces(map[string]Quota{"w": {Rate: 10, Burst: 5}}, now)
+	for range 5 {
+		ok, _ := s.Take("w", now)
+		must.True(t, ok)
+	}
+	ok, wait := s.Take("w", now)
+	must.False(t, ok)
+	must.Eq(t, 100*time.Millisecond, wait)
+}
+
 // A node that forgets the rate of a removed workspace must not panic or keep it.
 func TestSharesRemovedWorkspace(t *testing.T) {
 	s := NewShares("a", DefaultSharesConfig())
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -73,12 +73,12 @@
  {"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":0,"service":"s","maxAttempts":2},
  {"name":"open","host":"h.example","prefix":"/open/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"s","maxAttempts":2,"authExempt":true}],
  "services":[{"name":"s","healthPath":"/health","maxConnections":100}],
- "tenants":[{"name":"w","apiKeys":[%s],"priority":1,"ratePerS":1000,"burst":1000}]}`
+ "tenants":[{"name":"w","apiKeys":[%s],"priority":1,"ratePerS":%d,"burst":%d}]}`
 
 func startFleet(t *testing.T, count int, behaviour func(node int) http.HandlerFunc) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: kvstore.NewMemory(time.Now), logs: &logBuffer{}}
-	f.configure(1, `"key-1"`)
+	f.configure(1, `"key-1"`, 1000)
 	for i := range count {
 		f.nodes = append(f.nodes, f.startNode(i, behaviour(i)))
 	}
@@ -98,14 +98,14 @@
 	return f
 }
 
-// configure writes a configuration with the given keys, as JSON strings.
-func (f *fleet) configure(version int, keys string) {
+// configure writes a configuration with the given keys, as JSON strings, and rate.
+func (f *fleet) configure(version int, keys string, rate int) {
 	f.t.Helper()
 	entry, err := f.store.Get(f.t.Context(), "op/config")
 	if err != nil {
 		must.ErrorIs(f.t, err, kvstore.ErrNotFound)
 	}
-	_, err = f.store.CompareAndSwap(f.t.Context(), "op/config", entry.Revision, fmt.Appendf(nil, configuration, version, keys), kvstore.NoLease)
+	_, err = f.store.CompareAndSwap(f.t.Context(), "op/config", entry.Revision, fmt.Appendf(nil, configuration, version, keys, rate, rate), kvstore.NoLease)
 	must.NoError(f.t, err)
 }
 
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -47,6 +47,8 @@
 	clientIdle = 60 * time.Second
 	// housekeepingEvery is the time between two sweeps of idle connections and old crash marks.
 	housekeepingEvery = time.Second
+	// sharesLogEvery is the time between two log lines with the shares of rates.
+	sharesLogEvery = 5 * time.Second
 	// quarantineMarks and quarantineSuccesses bound the memory of the quarantine to about 1 MB.
 	quarantineMarks     = 2048
 	quarantineSuccesses = 4096
@@ -206,13 +208,17 @@
 }
 
 func (n *Node) housekeeping(ctx context.Context) {
+	var sharesLogged time.Time
 	for ctx.Err() == nil {
 		n.upstreams.Sweep()
 		n.forwarder.Sweep()
 		n.quarantine.Expire(time.Now())
 		n.throttle.Expire(time.Now())
 		n.updateRepeatLimits()
-		n.log.event("quota_shares").Interface("workspaces", n.shares.Status()).Msg("shares")
+		if time.Since(sharesLogged) >= sharesLogEvery {
+			sharesLogged = time.Now()
+			n.log.event("quota_shares").Interface("workspaces", n.shares.Status()).Msg("shares of rates")
+		}
 		sleep(ctx, housekeepingEvery)
 	}
 }
--- /dev/null
+++ b/sidecar/operations_test.go
@@ -0,0 +1,50 @@
+package sidecar_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// The steps of docs/OPERATIONS.md, section "From the id of a failed request to its cause", find the lines
+// that it names.
+
+func TestExplainQuotaRefusal(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	f.configure(2, `"key-1"`, 5)
+	refused := ""
+	for i := 0; refused == "" && i < 3000; i++ {
+		id := fmt.Sprint("quota-", i)
+		if f.send(f.nodes[0], http.MethodGet, "/read/a", id, "key-1", time.Second).status == http.StatusTooManyRequests {
+			refused = id
+		}
+	}
+	must.NotEq(t, "", refused)
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, refused, `"code":"rate_exceeded"`, `"workspace":"w"`))
+	f.eventually(func() error {
+		if len(f.logs.find(`"event":"quota_shares"`, `"w":{"share":1`)) == 0 {
+			return errors.New("no line with the shares")
+		}
+		return nil
+	})
+}
+
+func TestExplainLostAnswer(t *testing.T) {
+	f := startFleet(t, 1, always(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	must.Eq(t, http.StatusBadGateway, f.send(f.nodes[0], http.MethodPost, "/once/a", "lost-1", "key-1", time.Second).status)
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "lost-1", `"outcome":"may_have_run"`))
+	must.SliceNotEmpty(t, f.logs.find(`"event":"attempt_failed"`, "lost-1", `"destination":"n0"`, "connection lost"))
+}
+
+func TestExplainStaleConfiguration(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	f.store.SetDown(true)
+	time.Sleep(f.nodes[0].settings.WithdrawalTime)
+	must.Eq(t, http.StatusServiceUnavailable, f.send(f.nodes[0], http.MethodGet, "/read/a", "stale-1", "key-1", time.Second).status)
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "stale-1", `"code":"stale_configuration"`, `"configuration_age_ms"`))
+	must.SliceNotEmpty(t, f.logs.find(`"event":"dependency"`, `"name":"store"`, `"outcome":"lost"`))
+}
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -138,7 +138,7 @@
 func TestWithdrawnKeyWhileStoreIsDown(t *testing.T) {
 	f := startFleet(t, 2, always(answer))
 	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodGet, "/read/a", "id-0", "key-1", time.Second).status)
-	f.configure(2, `"key-2"`)
+	f.configure(2, `"key-2"`, 1000)
 	f.store.SetDown(true)
 	time.Sleep(f.nodes[0].settings.WithdrawalTime)
 	got := f.send(f.nodes[0], http.MethodGet, "/read/a", "id-1", "key-1", time.Second)
