Let a stopping node serve calls that have no other upstream

Change: the registration says that the node stops; pickers avoid it while another upstream takes calls, and it refuses only after 2.5 s, while it waits for what runs.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,8 @@
 	// Slots is the announced concurrency, used until the first load signal arrives.
 	Slots    int
 	Draining bool
+	// Stopping means that the node beside it is about to end. Only LatencyPicker looks at it.
+	Stopping bool
 	// WarmUp is how long the upstream is slow after its start; 0 means that it starts warm.
 	WarmUp time.Duration
 	// FirstSeen is when the upstream was first heard of; zero means long ago.
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -43,6 +43,8 @@
 	// off would otherwise be found out upstream by upstream.
 	DomainSuspicion  time.Duration
 	SuspicionPenalty time.Duration
+	// StoppingPenalty keeps calls away from a node that is about to end while another upstream takes them.
+	StoppingPenalty time.Duration
 }
 
 // DefaultLatencyConfig returns the values used by cowslip-sidecar.
@@ -63,6 +65,7 @@
 		UnreachableLimit: 2 * time.Second,         // one lost call in 2 s per service and node is affordable
 		DomainSuspicion:  time.Second,             // two rounds of the failure detector
 		SuspicionPenalty: 150 * time.Millisecond,  // what a failed connection costs
+		StoppingPenalty:  time.Second,             // above any difference between upstreams that work
 	}
 }
 
@@ -217,6 +220,9 @@
 		}
 		// A few percent of noise keeps nodes with the same knowledge from acting in step.
 		cost := u.cost(config, query, reference, kib, now) * (1 + costNoise*random.Float64())
+		if u.Stopping {
+			cost += config.StoppingPenalty.Seconds()
+		}
 		if u.tier != ownDomain && p.suspects(u, now) {
 			cost += config.SuspicionPenalty.Seconds()
 		}
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -28,7 +28,7 @@
 func (n *Node) HandleForwarded(ctx context.Context, incoming *peer.Incoming, reserved func() error) (*call.Answer, error) {
 	n.accepted.Add(1)
 	defer n.accepted.Add(-1)
-	if n.stopping.Load() {
+	if n.refusing.Load() {
 		refusal := call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops", n.settings().Node)
 		refusal.Load = &call.Load{Draining: true}
 		return nil, refusal
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -77,6 +77,7 @@
 	log         *decisionLog
 	incarnation uint64
 	stopping    atomic.Bool
+	refusing    atomic.Bool // of forwarded calls, late in a stop
 
 	configuration *configuration
 	registry      *registry
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -225,3 +225,19 @@
 	}
 	must.NoError(t, <-stopped)
 }
+
+// While a node stops, its upstream still gets the calls that have no other upstream. They used to be refused
+// for the whole time of the stop.
+func TestStopServesOnlyUpstream(t *testing.T) {
+	f := startFleet(t, 2, always(answer))
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	stopped := make(chan error, 1)
+	started := time.Now()
+	go func() { stopped <- f.nodes[0].node.Stop() }()
+	for i := 0; time.Since(started) < 2*time.Second; i++ {
+		got := f.send(f.nodes[1], http.MethodPost, "/once/a", fmt.Sprint("id", i), "key-1", time.Second)
+		must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+		time.Sleep(20 * time.Millisecond)
+	}
+	must.NoError(t, <-stopped)
+}
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -45,7 +45,8 @@
 	WarmUpMS       int64  `json:"warm_up_ms,omitempty"`
 	// Serving means that the upstream takes calls.
 	Serving bool `json:"serving"`
-	// Stopping means that the node's process ends.
+	// Stopping means that the node's process is about to end. It takes calls for a little longer, for those
+	// that have no other upstream.
 	Stopping bool `json:"stopping,omitempty"`
 }
 
@@ -99,7 +100,7 @@
 	if u := n.local.current.Load(); u != nil {
 		next.Service, next.Instance, next.Slots = u.Service, u.Instance, u.Slots
 		next.WarmUpMS = u.WarmUp.Milliseconds()
-		next.Serving = !u.leaving() && !next.Stopping
+		next.Serving = !u.leaving()
 	}
 	r.mu.Lock()
 	next.Sequence = r.own.Sequence + 1
@@ -236,6 +237,7 @@
 		Slots:         r.Slots,
 		WarmUp:        time.Duration(r.WarmUpMS) * time.Millisecond,
 		FirstSeen:     since,
+		Stopping:      r.Stopping,
 	}
 }
 
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -19,8 +19,9 @@
 	leaveTimeout = 250 * time.Millisecond
 )
 
-// Stop is a graceful shutdown. The node says at once that it is not ready and takes no forwarded calls any
-// more, goes on serving clients until they have gone elsewhere, waits for running requests, and leaves the
+// Stop is a graceful shutdown. The node says at once that it is not ready and that it stops, so that clients
+// and calls go elsewhere, but serves those that come until readinessTime has passed: its upstream may be the
+// only one of its service. Then it takes no forwarded calls, waits for running requests, and leaves the
 // registry. The upstream's own calls are served until its last request has ended.
 func (n *Node) Stop() error {
 	start := time.Now()
@@ -32,6 +33,7 @@
 	for time.Since(start) < readinessTime && time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
 	}
+	n.refusing.Store(true)
 	for n.busy() && time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
 	}
