Share bodies, clocks and the random source between the two nodes

Cause: the sidecar had its own copies of the body that can be sent again, of a body with an end function, of sleep, the lease clock, the shared random source and the settings error. Change: call.ReplayBody, call.OnClose, internal/clock, internal/random; the sidecar uses the settings error.

--- a/node/clock.go
+++ b/node/clock.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 )
 
 // now is the clock of requests and logs. Its monotonic reading stands still while the VM is suspended.
@@ -11,10 +11,4 @@
 
 // leaseNow is the clock of leases, grants and membership. It goes on while the VM is suspended, so that
 // a node that wakes up finds what it held expired. Only differences of its readings have a meaning.
-func (n *Node) leaseNow() time.Time {
-	var boot unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
-		panic(err) // every supported kernel has this clock
-	}
-	return time.Unix(boot.Unix())
-}
+func (n *Node) leaseNow() time.Time { return clock.Boot() }
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/member"
 	"github.com/cowslipglade/cowslipglade/peer"
 	configurationv1 "github.com/cowslipglade/cowslipglade/rpc/configuration/v1"
@@ -262,12 +263,12 @@
 func (c *configuration) run(ctx context.Context) {
 	for first := true; ctx.Err() == nil; {
 		if !first && !c.node.membership.watching() {
-			sleep(ctx, watcherPollTime)
+			clock.Sleep(ctx, watcherPollTime)
 			continue
 		}
 		if err := c.follow(ctx, first); err != nil && ctx.Err() == nil {
 			c.node.log.Warn().Err(err).Msg("configuration not read from the platform")
-			sleep(ctx, platformRetry)
+			clock.Sleep(ctx, platformRetry)
 		} else {
 			first = false
 		}
@@ -329,12 +330,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/destination.go
+++ b/node/destination.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, call.NewRefusal(call.CodeRequestIDInvalid, call.NotRun, "%s: %v", call.HeaderRequestID, err)
 	}
-	body, err := newReplayBody(req)
+	body, err := call.NewReplayBody(req)
 	if err != nil {
 		return nil, bodyRefusal(err, call.MayHaveRun)
 	}
@@ -208,16 +208,3 @@
 		return call.NewRefusal(call.CodeUpstreamFailed, call.MayHaveRun, "%v", err)
 	}
 }
-
-// closeFuncBody calls a function when the body is closed.
-type closeFuncBody struct {
-	io.ReadCloser
-	onClose func()
-}
-
-// Close closes the body and calls the function.
-func (b *closeFuncBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.onClose()
-	return err
-}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/retry"
@@ -26,7 +27,7 @@
 type dispatcher struct {
 	node   *Node
 	req    *call.Request
-	body   *replayBody
+	body   *call.ReplayBody
 	budget *retry.Budget
 	// topUp fills the budget of a root request before a retry is decided; nil below the root.
 	topUp func()
@@ -62,7 +63,7 @@
 		if d.topUp != nil {
 			d.topUp()
 		}
-		if !d.body.replayable() {
+		if !d.body.Replayable() {
 			failure.Final = true
 		}
 		decision := d.node.retryConfig.Decide(failure, d.budget, d.node.random)
@@ -79,7 +80,7 @@
 		if answer != nil {
 			_ = answer.Body.Close()
 		}
-		sleep(ctx, decision.Wait)
+		clock.Sleep(ctx, decision.Wait)
 	}
 }
 
@@ -90,7 +91,7 @@
 // destination had already begun to drain. The picker learns both at once, so few calls meet them, and
 // without this a planned stop would cut calls whose bucket is empty.
 func (d *dispatcher) reroute(refusal *call.Refusal) bool {
-	if refusal == nil || refusal.Outcome != call.NotRun || refusal.Final || d.reroutes >= maxReroutes || !d.body.replayable() {
+	if refusal == nil || refusal.Outcome != call.NotRun || refusal.Final || d.reroutes >= maxReroutes || !d.body.Replayable() {
 		return false
 	}
 	switch refusal.Code {
@@ -147,7 +148,7 @@
 	if d.beforeSend != nil {
 		d.beforeSend()
 	}
-	attempt := d.body.attach(d.req)
+	attempt := d.body.Attach(d.req)
 	grant := d.budget.Grant()
 	attempt.RetryBudget = grant.Tokens()
 	start := n.now()
--- a/node/downstream.go
+++ b/node/downstream.go
@@ -28,7 +28,7 @@
 	}
 	child := newChildCall(parent.req, req, route, n.now())
 	n.limitBody(req.SetBodyDeadline, child.Deadline)
-	body, err := newReplayBody(child)
+	body, err := call.NewReplayBody(child)
 	if err != nil {
 		return nil, bodyRefusal(err, call.NotRun)
 	}
@@ -50,7 +50,7 @@
 		end()
 		return nil, err
 	}
-	answer.Body = &closeFuncBody{ReadCloser: answer.Body, onClose: end}
+	answer.Body = call.OnClose(answer.Body, end)
 	return answer, nil
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -57,7 +57,7 @@
 		root.KeyHash = key.SHA256
 	}
 	n.limitBody(req.SetBodyDeadline, root.Deadline)
-	body, err := newReplayBody(root)
+	body, err := call.NewReplayBody(root)
 	if err != nil {
 		return nil, req.RequestID, bodyRefusal(err, outcome)
 	}
@@ -67,7 +67,7 @@
 		cancel()
 		return nil, root.RequestID, err
 	}
-	answer.Body = &closeFuncBody{ReadCloser: answer.Body, onClose: cancel}
+	answer.Body = call.OnClose(answer.Body, cancel)
 	return answer, root.RequestID, nil
 }
 
@@ -83,7 +83,7 @@
 }
 
 // runRoot runs an authenticated request.
-func (n *Node) runRoot(ctx context.Context, req *call.Request, body *replayBody, rules config.Rules) (*call.Answer, error) {
+func (n *Node) runRoot(ctx context.Context, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
 	req.Fingerprint = fingerprint(req, body)
 	if !req.Idempotent && n.settings.Policy != settings.PolicyNone {
 		return n.runIdentified(ctx, req, body, rules)
@@ -100,7 +100,7 @@
 
 // dispatchRoot dispatches a request with a retry budget from the bucket of its workspace and route.
 // beforeSend, if not nil, is called before each attempt.
-func (n *Node) dispatchRoot(ctx context.Context, req *call.Request, body *replayBody, rules config.Rules, beforeSend func()) (*call.Answer, error) {
+func (n *Node) dispatchRoot(ctx context.Context, req *call.Request, body *call.ReplayBody, rules config.Rules, beforeSend func()) (*call.Answer, error) {
 	key := retry.Key{Workspace: req.Workspace, Route: req.Route}
 	retryRules := retry.Rules{Ratio: rules.RetryRatio, Limit: rules.RetryLimit}
 	budget := n.retryBuckets.Reserve(key, retryRules)
--- a/node/expire.go
+++ b/node/expire.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 )
 
 // expireInterval is far below the lifetimes of what expires, so that memory follows them closely.
@@ -15,6 +17,6 @@
 		n.quarantine.Expire(now)
 		n.throttle.Expire(now)
 		n.identity.Load().table.Expire(now)
-		sleep(ctx, expireInterval)
+		clock.Sleep(ctx, expireInterval)
 	}
 }
--- a/node/identity.go
+++ b/node/identity.go
@@ -76,7 +76,7 @@
 
 // runIdentified runs a non-idempotent request under the id that its caller presented, here or at the
 // id's home.
-func (n *Node) runIdentified(ctx context.Context, req *call.Request, body *replayBody, rules config.Rules) (*call.Answer, error) {
+func (n *Node) runIdentified(ctx context.Context, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
 	if req.RequestID == "" {
 		return nil, call.NewRefusal(call.CodeRequestIDRequired, call.NotRun,
 			"route %s is not idempotent and needs a %s from POST /cowslip/request-ids", req.Route, call.HeaderRequestID)
@@ -92,7 +92,7 @@
 	if !ok {
 		return nil, call.NewRefusal(call.CodeRequestIDLost, call.MayHaveRun, "the node that issued the request id cannot be reached or has been replaced")
 	}
-	attempt := body.attach(req)
+	attempt := body.Attach(req)
 	attempt.CallID = randomID()
 	destination := peer.Destination{Address: home.address, Incarnation: home.incarnation, Kind: peer.KindHome}
 	answer, err := n.peers.Forward(ctx, destination, attempt)
@@ -109,7 +109,7 @@
 
 // runHome decides about a presentation of an id that this incarnation issued. The request runs to its
 // end even when the caller goes away, so that a repeat gets the answer.
-func (n *Node) runHome(ctx context.Context, id requestid.ID, req *call.Request, body *replayBody, rules config.Rules) (*call.Answer, error) {
+func (n *Node) runHome(ctx context.Context, id requestid.ID, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
 	digest := requestDigest(req, body)
 	for {
 		decision := n.identity.Load().table.Begin(n.now(), id, req.Workspace, digest)
@@ -131,13 +131,13 @@
 				cancel()
 				return nil, err
 			}
-			answer.Body = &closeFuncBody{ReadCloser: answer.Body, onClose: cancel}
+			answer.Body = call.OnClose(answer.Body, cancel)
 			return answer, nil
 		}
 	}
 }
 
-func (n *Node) runAttempt(ctx context.Context, attempt *requestid.Attempt, req *call.Request, body *replayBody, rules config.Rules) (*call.Answer, error) {
+func (n *Node) runAttempt(ctx context.Context, attempt *requestid.Attempt, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
 	defer attempt.Close()
 	if err := n.refuseQuarantined(req.Fingerprint); err != nil {
 		return nil, err
@@ -204,10 +204,10 @@
 }
 
 // requestDigest covers method, target and body; of a body that is too large to be held, its length.
-func requestDigest(req *call.Request, body *replayBody) requestid.Digest {
+func requestDigest(req *call.Request, body *call.ReplayBody) requestid.Digest {
 	hash := sha256.New()
 	fmt.Fprintf(hash, "%q %q %d\n", req.Method, req.Target, req.ContentLength)
-	hash.Write(body.data)
+	hash.Write(body.Data())
 	return requestid.Digest(hash.Sum(nil))
 }
 
--- a/node/local.go
+++ b/node/local.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/admission"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/upstream"
 )
 
@@ -114,6 +115,6 @@
 		if local := n.local.current.Load(); local != nil {
 			local.gate.Sweep()
 		}
-		sleep(ctx, sweepInterval)
+		clock.Sleep(ctx, sweepInterval)
 	}
 }
--- a/node/membership.go
+++ b/node/membership.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/member"
 	"github.com/cowslipglade/cowslipglade/peer"
 	membershipv1 "github.com/cowslipglade/cowslipglade/rpc/membership/v1"
@@ -96,7 +97,7 @@
 			m.join(ctx)
 			nextJoin = now.Add(m.nextJoinWait())
 		}
-		sleep(ctx, tickInterval)
+		clock.Sleep(ctx, tickInterval)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/caller"
+	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
 	"github.com/cowslipglade/cowslipglade/kvstore"
@@ -97,7 +98,7 @@
 		quarantine:   quarantine.NewList(quarantine.DefaultConfig()),
 		retryBuckets: retry.NewBuckets(retry.DefaultConfig()),
 		retryConfig:  retry.DefaultConfig(),
-		random:       rand.New(globalSource{}),
+		random:       random.Shared,
 		picker: balance.NewPicker(balanceConfig(s.Policy), balance.Origin{
 			Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region,
 		}),
@@ -229,10 +230,3 @@
 	}
 	return config
 }
-
-// globalSource makes the runtime's per-thread random source available as a *rand.Rand that may be
-// shared, because it has no state of its own.
-type globalSource struct{}
-
-// Uint64 implements rand.Source.
-func (globalSource) Uint64() uint64 { return rand.Uint64() }
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -19,6 +19,7 @@
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/keys"
 	"github.com/cowslipglade/cowslipglade/kvstore"
@@ -138,7 +139,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			f.nodes[i].Announce(&announcement)
-			sleep(ctx, 500*time.Millisecond)
+			clock.Sleep(ctx, 500*time.Millisecond)
 		}
 	}()
 	f.eventually(service+" known to all nodes", func() bool {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	quarantinev1 "github.com/cowslipglade/cowslipglade/rpc/quarantine/v1"
@@ -67,7 +68,7 @@
 			tracked.ticket = d.tracker.ForceStart(req.Fingerprint)
 			return tracked, nil
 		}
-		sleep(ctx, holdInterval)
+		clock.Sleep(ctx, holdInterval)
 		if ctx.Err() != nil {
 			return tracked, call.NewRefusal(call.CodeDeadline, call.NotRun, "deadline passed while the call was held back")
 		}
@@ -197,7 +198,7 @@
 }
 
 // fingerprint recognises a request when it is sent again. Only buffered bodies are part of it.
-func fingerprint(req *call.Request, body *replayBody) uint64 {
-	prefix := body.data[:min(len(body.data), quarantine.BodyPrefix)]
+func fingerprint(req *call.Request, body *call.ReplayBody) uint64 {
+	prefix := body.Data()[:min(len(body.Data()), quarantine.BodyPrefix)]
 	return quarantine.Fingerprint(req.Workspace, req.Method, req.Target, quarantine.BodyHash(prefix, req.ContentLength))
 }
--- a/node/shards.go
+++ b/node/shards.go
@@ -14,6 +14,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	membershipv1 "github.com/cowslipglade/cowslipglade/rpc/membership/v1"
@@ -129,7 +130,7 @@
 // run takes free shards and renews the leases of owned ones until ctx ends.
 func (o *shardOwner) run(ctx context.Context) {
 	for {
-		sleep(ctx, shardInterval)
+		clock.Sleep(ctx, shardInterval)
 		if ctx.Err() != nil {
 			return
 		}
--- a/node/withdrawals.go
+++ b/node/withdrawals.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipglade/cowslipglade/admission"
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/keys"
 	membershipv1 "github.com/cowslipglade/cowslipglade/rpc/membership/v1"
 )
@@ -135,7 +136,7 @@
 // run writes withdrawals to the platform that the configuration does not hold, until ctx ends.
 func (w *withdrawals) run(ctx context.Context) {
 	for {
-		sleep(ctx, pendingInterval)
+		clock.Sleep(ctx, pendingInterval)
 		if ctx.Err() != nil {
 			return
 		}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -90,7 +90,7 @@
 		stop()
 		return answer, nil
 	}
-	answer.Body = &streamedBody{ReadCloser: answer.Body, after: func() { stop(); conn.Close() }}
+	answer.Body = call.OnClose(answer.Body, func() { stop(); conn.Close() })
 	return answer, nil
 }
 
@@ -231,19 +231,6 @@
 	return &m, nil
 }
 
-// streamedBody runs a function when the body is closed.
-type streamedBody struct {
-	io.ReadCloser
-	after func()
-}
-
-// Close closes the body and then runs the function.
-func (b *streamedBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.after()
-	return err
-}
-
 // AcceptHandler runs calls that other nodes forward. reserved must be called once, when the call has its
 // slot and before its body is read; after an error of it the call must not run.
 type AcceptHandler interface {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
@@ -65,7 +66,7 @@
 	if c.confirmedAt.IsZero() {
 		return 0, false
 	}
-	return leaseNow().Sub(c.confirmedAt), true
+	return clock.Boot().Sub(c.confirmedAt), true
 }
 
 // freshWithin tells whether the configuration was the newest within the last d.
@@ -122,10 +123,10 @@
 	var retry storeBackoff
 	for ctx.Err() == nil {
 		if wait := c.untilDue(); wait > 0 {
-			sleep(ctx, wait)
+			clock.Sleep(ctx, wait)
 			continue
 		}
-		start := leaseNow()
+		start := clock.Boot()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		raw, err := c.node.source.Read(callCtx)
 		cancel()
@@ -137,7 +138,7 @@
 		}
 		reachable.report(err)
 		if err != nil || c.current.Load() == nil {
-			sleep(ctx, retry.failed())
+			clock.Sleep(ctx, retry.failed())
 			continue
 		}
 		retry.succeeded()
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipglade/cowslipglade/admission"
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/upstream"
@@ -121,7 +122,7 @@
 			refusal.RetryAfter = min(verdict.RetryAfter, quotaRetryLimit)
 			return quarantine.Ticket{}, refusal
 		}
-		sleep(ctx, suspectWait)
+		clock.Sleep(ctx, suspectWait)
 	}
 	return u.tracker.ForceStart(req.Fingerprint), nil
 }
@@ -262,16 +263,3 @@
 	b.once.Do(func() { b.ended(b.result) })
 	return err
 }
-
-// closeFuncBody calls a function when the body is closed.
-type closeFuncBody struct {
-	io.ReadCloser
-	onClose func()
-}
-
-// Close closes the body and calls the function.
-func (b *closeFuncBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.onClose()
-	return err
-}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -8,6 +8,8 @@
 
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
+	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/retry"
 )
@@ -71,7 +73,7 @@
 func (n *Node) dispatch(ctx context.Context, e *entry) (*call.Answer, *call.Refusal) {
 	n.repeats.Request(e.req.Service, time.Now())
 	d := &dispatcher{node: n, entry: e}
-	if e.req.Idempotent && e.body.stream == nil {
+	if e.req.Idempotent && e.body.Held() {
 		return d.runRepeatable(ctx)
 	}
 	return d.runOnce(ctx)
@@ -88,7 +90,7 @@
 		}
 		answer, refusal := d.attempt(ctx, choice)
 		if refusal == nil {
-			answer.Body = &closeFuncBody{ReadCloser: answer.Body, onClose: cancel}
+			answer.Body = call.OnClose(answer.Body, cancel)
 			return answer, nil
 		}
 		if !d.mayRepeat(refusal) {
@@ -136,7 +138,7 @@
 				d.discard(failed)
 				go drain(results, running)
 				answer := result.answer
-				answer.Body = &closeFuncBody{ReadCloser: answer.Body, onClose: cancel}
+				answer.Body = call.OnClose(answer.Body, cancel)
 				return answer, nil
 			}
 			if result.refusal == nil {
@@ -154,7 +156,7 @@
 		}
 	}
 	if failed != nil {
-		failed.Body = &closeFuncBody{ReadCloser: failed.Body, onClose: cancel}
+		failed.Body = call.OnClose(failed.Body, cancel)
 		return failed, nil
 	}
 	cancel()
@@ -196,7 +198,7 @@
 	for {
 		choice, err := d.node.picker.Pick(req.Service, balance.LatencyQuery{
 			Route: req.Route, Importance: req.Importance, Bytes: max(0, req.ContentLength), Exclude: d.tried,
-		}, time.Now(), random)
+		}, time.Now(), random.Shared)
 		if err == nil {
 			d.tried = append(d.tried, choice.ID)
 			return choice, true
@@ -204,7 +206,7 @@
 		if d.runs > 0 || ctx.Err() != nil || time.Since(d.entry.start) >= hold || d.reroutes >= maxReroutes {
 			return balance.Candidate{}, false
 		}
-		sleep(ctx, rerouteWait)
+		clock.Sleep(ctx, rerouteWait)
 		d.tried = d.tried[:0]
 	}
 }
@@ -212,7 +214,7 @@
 // attempt sends the request to one destination and tells the picker how it ended.
 func (d *dispatcher) attempt(ctx context.Context, choice balance.Candidate) (*call.Answer, *call.Refusal) {
 	n := d.node
-	attempt := d.entry.body.attach(d.entry.req)
+	attempt := d.entry.body.Attach(d.entry.req)
 	attempt.CallID = strconv.FormatUint(n.sequence.Add(1), 36)
 	start := time.Now()
 	var answer *call.Answer
@@ -273,7 +275,7 @@
 // mayRepeat takes in a refusal and tells whether the request may be sent to another destination.
 func (d *dispatcher) mayRepeat(refusal *call.Refusal) bool {
 	d.last = refusal
-	if refusal.Code == call.CodeCanceled || refusal.Code == call.CodeIncompleteBody || !d.entry.body.replayable() {
+	if refusal.Code == call.CodeCanceled || refusal.Code == call.CodeIncompleteBody || !d.entry.body.Replayable() {
 		d.mayHaveRun = d.mayHaveRun || refusal.Outcome == call.MayHaveRun
 		return false
 	}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/httpanswer"
+	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/keys"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
@@ -34,7 +35,7 @@
 	fields RequestFields
 	route  *config.Route
 	req    *call.Request
-	body   *replayBody
+	body   *call.ReplayBody
 	start  time.Time
 	// throttled means that the request was refused because of how others ended.
 	throttled bool
@@ -78,7 +79,7 @@
 			return nil, refusal
 		}
 	}
-	e.req.Fingerprint = quarantine.Fingerprint(e.req.Workspace+"|"+e.req.CallerService, e.req.Method, e.req.Target, body.hash())
+	e.req.Fingerprint = quarantine.Fingerprint(e.req.Workspace+"|"+e.req.CallerService, e.req.Method, e.req.Target, quarantine.BodyHash(body.Data(), r.ContentLength))
 	if standing, left := n.quarantine.Standing(e.req.Fingerprint, time.Now()); standing == quarantine.Quarantined {
 		refusal := call.NewRefusal(call.CodeQuarantined, call.NotRun, "the request has crashed upstreams")
 		refusal.RetryAfter = min(left, quotaRetryLimit)
@@ -89,16 +90,16 @@
 
 // readBody reads a body that fits into memory. The bound on its time ends with it, because net/http would
 // otherwise take the deadline for the client's departure.
-func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*replayBody, error) {
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*call.ReplayBody, error) {
 	if r.ContentLength == 0 {
-		return &replayBody{}, nil
+		return call.NewReplayBody(&call.Request{})
 	}
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	body, err := newReplayBody(r.Body, r.ContentLength)
-	if err == nil && body.stream == nil {
+	body, err := call.NewReplayBody(&call.Request{Body: r.Body, ContentLength: r.ContentLength})
+	if err == nil && body.Held() {
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	return body, err
@@ -130,7 +131,7 @@
 	call.CopyHeader(header, r.Header)
 	e.req = &call.Request{
 		Context: call.Context{
-			RequestID: e.fields.ID, Route: route.Name, Service: chooseService(route, random.Float64()),
+			RequestID: e.fields.ID, Route: route.Name, Service: chooseService(route, random.Shared.Float64()),
 			Importance: route.Importance, Idempotent: route.Idempotent, Deadline: e.start.Add(timeout),
 			CallerService: n.settings().Service,
 		},
@@ -217,7 +218,7 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		retryAfter = refusal.RetryAfter
 		if retryAfter <= 0 {
-			retryAfter = overloadRetry + time.Duration(random.Float64()*float64(overloadRetry))
+			retryAfter = overloadRetry + time.Duration(random.Shared.Float64()*float64(overloadRetry))
 		}
 	}
 	n.headers.PutRefusal(w.Header(), requestID, retryAfter)
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
@@ -87,9 +88,9 @@
 		}
 		round.Wait()
 		if g.node.shares.Adjust(time.Now()) {
-			sleep(ctx, jittered(gossipEvery))
+			clock.Sleep(ctx, jittered(gossipEvery))
 		} else {
-			sleep(ctx, gossipJoining)
+			clock.Sleep(ctx, gossipJoining)
 		}
 	}
 }
@@ -141,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	client := gossipv1.NewGossipProtobufClient("http://"+target.ControlAddress, g.client)
-	sent := leaseNow()
+	sent := clock.Boot()
 	state, marks := g.state(target.Node)
 	answer, err := client.Exchange(ctx, state)
 	if err == nil && answer.Node != target.Node {
@@ -175,7 +176,7 @@
 
 // Exchange implements gossipv1.Gossip.
 func (g *gossip) Exchange(_ context.Context, state *gossipv1.State) (*gossipv1.State, error) {
-	g.learn(state, leaseNow())
+	g.learn(state, clock.Boot())
 	answer, _ := g.state(state.Node)
 	return answer, nil
 }
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/admission"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 )
 
@@ -233,6 +234,6 @@
 		if u != nil && !u.gate.Idle() {
 			u.gate.Sweep()
 		}
-		sleep(ctx, sweepEvery)
+		clock.Sleep(ctx, sweepEvery)
 	}
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
@@ -220,7 +221,7 @@
 			sharesLogged = time.Now()
 			n.log.event("quota_shares").Interface("workspaces", n.shares.Status()).Msg("shares of rates")
 		}
-		sleep(ctx, housekeepingEvery)
+		clock.Sleep(ctx, housekeepingEvery)
 	}
 }
 
--- a/sidecar/overload.go
+++ b/sidecar/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/throttle"
 )
 
@@ -125,12 +126,12 @@
 	if e.req.Workspace == "" {
 		return nil
 	}
-	if n.throttle.Allow(throttle.Key{Service: e.req.Route}, e.req.Importance, time.Now(), random.Float64()) {
+	if n.throttle.Allow(throttle.Key{Service: e.req.Route}, e.req.Importance, time.Now(), random.Shared.Float64()) {
 		return nil
 	}
 	e.throttled = true
 	refusal := call.NewRefusal(call.CodeOverloaded, call.NotRun, "most %s requests of route %s fail for lack of room", e.req.Importance, e.req.Route)
-	refusal.RetryAfter = throttleRetry + time.Duration(random.Float64()*float64(throttleRetry))
+	refusal.RetryAfter = throttleRetry + time.Duration(random.Shared.Float64()*float64(throttleRetry))
 	return refusal
 }
 
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
@@ -256,11 +257,11 @@
 		reachable.report(err)
 		r.expire(err != nil)
 		if err != nil {
-			sleep(ctx, retry.failed())
+			clock.Sleep(ctx, retry.failed())
 			continue
 		}
 		retry.succeeded()
-		sleep(ctx, watchPause)
+		clock.Sleep(ctx, watchPause)
 	}
 }
 
@@ -335,7 +336,7 @@
 		cancel()
 		if err != nil {
 			r.node.log.event("registration_failed").Err(err).Msg("registration not written")
-			sleep(ctx, retry.failed())
+			clock.Sleep(ctx, retry.failed())
 			continue
 		}
 		retry.succeeded()
@@ -356,7 +357,7 @@
 func (p *publisher) step(ctx context.Context) error {
 	store := p.registry.node.store
 	if p.lease == kvstore.NoLease {
-		now := leaseNow()
+		now := clock.Boot()
 		lease, err := store.GrantLease(ctx, max(leaseTime, p.registry.node.settings().LeaseMinimum))
 		if err != nil {
 			return err
@@ -364,7 +365,7 @@
 		p.lease, p.renewed, p.written = lease, now, 0
 		p.registry.setLease(lease)
 	}
-	if now := leaseNow(); now.Sub(p.renewed) >= renewEvery {
+	if now := clock.Boot(); now.Sub(p.renewed) >= renewEvery {
 		if err := store.KeepAlive(ctx, p.lease); err != nil {
 			if errors.Is(err, kvstore.ErrLeaseExpired) {
 				p.lease = kvstore.NoLease
@@ -410,7 +411,7 @@
 
 // wait returns when the registration changes or the lease is due.
 func (p *publisher) wait(ctx context.Context) {
-	timer := time.NewTimer(max(0, renewEvery-leaseNow().Sub(p.renewed)))
+	timer := time.NewTimer(max(0, renewEvery-clock.Boot().Sub(p.renewed)))
 	defer timer.Stop()
 	select {
 	case <-p.registry.changed:
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -2,9 +2,10 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/cowslipglade/cowslipglade/internal/settings"
 )
 
 // Settings are what a node is told about its VM and its operators' limits.
@@ -61,23 +62,11 @@
 	QuotaSlack  float64
 }
 
-// FieldError names a setting, its value and the rule that it breaks.
-type FieldError struct {
-	Field string
-	Value any
-	Rule  string
-}
-
-// Error names field, value and rule.
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("%s = %v: %s", e.Field, e.Value, e.Rule)
-}
-
 // Check returns all broken rules, joined.
 func (s *Settings) Check() error {
 	var errs []error
 	fail := func(field string, value any, rule string) {
-		errs = append(errs, &FieldError{Field: field, Value: value, Rule: rule})
+		errs = append(errs, &settings.FieldError{Field: field, Value: value, Rule: rule})
 	}
 	for _, f := range []struct{ field, value string }{
 		{"node name", s.Node}, {"failure domain", s.FailureDomain}, {"service", s.Service},
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -85,7 +85,7 @@
 		stop()
 		return answer, nil
 	}
-	answer.Body = &closingBody{ReadCloser: answer.Body, after: func() { stop(); conn.Close() }}
+	answer.Body = call.OnClose(answer.Body, func() { stop(); conn.Close() })
 	return answer, nil
 }
 
@@ -169,16 +169,3 @@
 	conn.Close()
 	return true
 }
-
-// closingBody runs a function when the body is closed.
-type closingBody struct {
-	io.ReadCloser
-	after func()
-}
-
-// Close closes the body and then runs the function.
-func (b *closingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.after()
-	return err
-}
