--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -210,8 +210,8 @@
 const inlineBody = 4 << 10
 
 // Exchange sends the body of a request whose head has been written and reads the head of the final
-// answer. A server may answer before it has read a long body; sent then is false, and the connection must
-// not be released. A failure of the body's reader is returned as ErrBody.
+// answer. When the answer comes while a long body is still being sent, sent is false, and the connection
+// must not be released. A failure of the body's reader is returned as ErrBody.
 func (c *Conn) Exchange(method string, body io.Reader, length int64) (answer *Answer, sent bool, err error) {
 	if length >= 0 && length <= inlineBody {
 		if err := c.WriteBody(body, length); err != nil {
