Take addresses of tests below the range of outgoing connections

The test had asked the system for a free port and given it back, and a connection of another test took it. The new tests with real nodes make many connections, so it has become likelier.

--- a/cmd/cowslipctl/ctl_test.go
+++ b/cmd/cowslipctl/ctl_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"regexp"
@@ -16,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipglade/cowslipglade/internal/freeport"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/node"
@@ -33,12 +33,11 @@
 	s := settings.DefaultNode()
 	s.Name, s.FailureDomain, s.FailureDomains, s.Region = "vm-1", "fd-1", []string{"fd-1", "fd-2"}, "test"
 	for _, address := range []*string{&s.CallerAddress, &s.LocalAddress, &s.PeerAddress} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := freeport.Address()
 		if err != nil {
 			return nil, nil, err
 		}
-		*address = listener.Addr().String()
-		defer listener.Close()
+		*address = free
 	}
 	s.PlatformEndpoints = []string{"http://127.0.0.1:1"}
 	s.Secrets = []string{"a-secret-of-the-test"}
--- a/cmd/cowslipd/main_test.go
+++ b/cmd/cowslipd/main_test.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"net"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cowslipglade/cowslipglade/internal/freeport"
 )
 
 func TestMain(m *testing.M) {
@@ -39,12 +40,11 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("GORACE", "atexit_sleep_ms=0") // else each command of a race build ends a second late
 			for _, name := range []string{"CALLER", "LOCAL", "PEER"} {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				free, err := freeport.Address()
 				if err != nil {
 					return err
 				}
-				env.Setenv(name, listener.Addr().String())
-				defer listener.Close()
+				env.Setenv(name, free)
 			}
 			return nil
 		},
--- /dev/null
+++ b/internal/freeport/freeport_test.go
@@ -0,0 +1,37 @@
+package freeport
+
+import (
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Addresses differ, can be listened on, and lie below the ports of outgoing connections.
+func TestAddress(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		address, err := Address()
+		must.NoError(t, err)
+		must.False(t, seen[address])
+		seen[address] = true
+		listener, err := net.Listen("tcp4", address)
+		must.NoError(t, err)
+		port := listener.Addr().(*net.TCPAddr).Port
+		must.Between(t, firstPort, port, lastPort)
+		must.NoError(t, listener.Close())
+	}
+}
+
+// A port that somebody listens on is passed over.
+func TestAddressTaken(t *testing.T) {
+	address, err := Address()
+	must.NoError(t, err)
+	listener, err := net.Listen("tcp4", address)
+	must.NoError(t, err)
+	defer listener.Close()
+	next.Add(-1)
+	again, err := Address()
+	must.NoError(t, err)
+	must.NotEq(t, address, again)
+}
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -20,6 +20,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
+	"github.com/cowslipglade/cowslipglade/internal/freeport"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/keys"
 	"github.com/cowslipglade/cowslipglade/kvstore"
@@ -37,10 +38,9 @@
 
 // freeAddress returns a loopback address that no listener has.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // newFleet starts count nodes, all seeded with the first, and commits a workspace, a key and routes.
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/cowslipglade/cowslipglade/internal/freeport"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/platform"
 	"github.com/cowslipglade/cowslipglade/sidecar"
@@ -111,10 +112,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := freeport.Address()
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func (f *fleet) startNode(i int, behaviour http.HandlerFunc) *fleetNode {
