Look for free ports without listening on them

The scripts run in parallel and start commands: a child that has been forked and does not run its program yet holds a copy of another script's probing listener, so the port stays taken after the probe has closed it. Change: freeport finds out by a refused connection.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -2,7 +2,8 @@
 //
 // A port that was free a moment ago can be taken by any outgoing connection of a test that runs at the same
 // time. Ports are therefore taken below the range of outgoing connections, and each process takes them on a
-// loopback address of its own.
+// loopback address of its own. Whether one is free is found out by a connection and not by listening: a
+// command that is started meanwhile holds a copy of the listener until it runs, and keeps the port taken.
 package freeport
 
 import (
@@ -11,12 +12,16 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 const (
 	firstPort = 10_000
 	// lastPort is below the lowest port of outgoing connections on Linux, 32768.
 	lastPort = 32_000
+	// dialTimeout is far above a refusal on loopback.
+	dialTimeout = time.Second
 )
 
 // ErrNone means that no port is free.
@@ -32,11 +37,13 @@
 	for range lastPort - firstPort {
 		port := firstPort + next.Add(1)%(lastPort-firstPort)
 		address := fmt.Sprintf("%s:%d", host, port)
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
+		conn, err := net.DialTimeout("tcp4", address, dialTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return address, nil
+		}
+		if err == nil {
+			_ = conn.Close()
 		}
-		return address, listener.Close()
 	}
 	return "", ErrNone
 }
