--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,7 +37,7 @@
 	host := fmt.Sprintf("127.%d.%d.%d", 100+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
 	for range lastPort - firstPort {
 		port := firstPort + next.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("%s:%d", host, port)
+		address := net.JoinHostPort(host, strconv.FormatInt(port, 10))
 		conn, err := net.DialTimeout("tcp4", address, dialTimeout)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return address, nil
