--- /dev/null
+++ b/sidecar/stop_test.go
@@ -0,0 +1,138 @@
+package sidecar_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// stopWithin gives the nodes a shutdown timeout.
+func (f *fleet) stopWithin(timeout time.Duration) {
+	for _, n := range f.nodes {
+		changed := *n.settings
+		changed.ShutdownTimeout = timeout
+		n.node.Reload(&changed)
+	}
+}
+
+// end stops a node and closes what is left, as the end of its process does.
+func (n *fleetNode) end() error {
+	err := n.node.Stop()
+	n.node.Close()
+	return err
+}
+
+// slow answers after a time, unless the node gives up first.
+func slow(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(d):
+			answer(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// notListening tells that a request came after the node's end.
+func notListening(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
+// Guards against calls of running requests that a stopping node takes and cuts: all get an answer, or a refusal
+// that is true.
+func TestStopCutsNoLateCall(t *testing.T) {
+	f := startFleet(t, 1, always(slow(700*time.Millisecond)))
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodGet, "/open/a", "before", "", 2*time.Second).status)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].end() }()
+	results := make(chan result, 100)
+	sent := 0
+	for started := time.Now(); time.Since(started) < f.nodes[0].settings.ShutdownTimeout; sent++ {
+		id := fmt.Sprint("id", sent)
+		go func() { results <- f.send(f.nodes[0], http.MethodGet, "/open/a", id, "", 2*time.Second) }()
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.NoError(t, <-stopped)
+	statuses := map[int]int{}
+	for range sent {
+		got := <-results
+		if notListening(got.err) {
+			continue
+		}
+		must.NoError(t, got.err)
+		must.SliceContains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status, must.Sprint(got.body))
+		statuses[got.status]++
+	}
+	must.Positive(t, statuses[http.StatusOK])
+}
+
+// Guards against requests that end without an answer when a stop has no time left: the caller is told that the
+// request may have run, and a log line names it.
+func TestStopAnswersWhatItCuts(t *testing.T) {
+	for _, path := range []string{"/read/a", "/once/a", "/open/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 1, always(slow(time.Minute)))
+			f.stopWithin(1500 * time.Millisecond)
+			got := make(chan result, 1)
+			go func() { got <- f.send(f.nodes[0], http.MethodGet, path, "cut-1", "key-1", 10*time.Second) }()
+			f.eventually(func() error {
+				if f.totalRuns() == 0 {
+					return errors.New("not running yet")
+				}
+				return nil
+			})
+			must.Error(t, f.nodes[0].end())
+			end := <-got
+			must.NoError(t, end.err)
+			must.Eq(t, http.StatusBadGateway, end.status)
+			must.StrContains(t, end.body, "draining (may_have_run)")
+			must.SliceNotEmpty(t, f.logs.find(`"event":"request_cut"`, "cut-1", `"outcome":"may_have_run"`))
+			must.SliceNotEmpty(t, f.logs.find(`"event":"stop"`, `"cut":1`))
+		})
+	}
+}
+
+// A node that stops tells the node that forwarded a call how it ended.
+func TestStopAnswersForwardedCallsThatItCuts(t *testing.T) {
+	f := startFleet(t, 2, always(slow(time.Minute)))
+	f.stopWithin(1500 * time.Millisecond)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	got := make(chan result, 1)
+	f.eventually(func() error {
+		if f.totalRuns() > 0 {
+			return nil
+		}
+		go func() { got <- f.send(f.nodes[1], http.MethodPost, "/once/a", "cut-1", "key-1", 10*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+		return errors.New("not running yet")
+	})
+	must.Error(t, f.nodes[0].end())
+	end := <-got
+	must.NoError(t, end.err)
+	must.Eq(t, http.StatusBadGateway, end.status)
+	must.StrContains(t, end.body, "draining (may_have_run)")
+}
+
+// Guards against stops that wait for connections on which nobody has sent anything: they lasted up to the
+// shutdown timeout, so that more nodes of a failure domain were away at the same time.
+func TestStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	s := f.nodes[0].settings
+	started := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].end() }()
+	for _, address := range []string{s.RequestAddress, s.PeerAddress, s.ControlAddress, s.HeartbeatAddress, s.ReadyAddress} {
+		conn, err := net.Dial("tcp", address)
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	must.NoError(t, <-stopped)
+	must.Less(t, 4*time.Second, time.Since(started))
+}
