Answer the requests that a stop ends, and log them

Callers saw: requests that still ran when a stop had no time left ended with a closed connection. A caller could not tell whether the node had failed or the network, and nodes that had forwarded a call took the destination for broken. No log line named such a request.

Cause: the shutdown of the listeners was the only thing that ended running requests, by closing their connections under them.

Change: 0.1 s before the connections are closed, the contexts of all running requests end. Each is answered 502 with "draining (may_have_run)", or 503 if it certainly has not run; a forwarding node gets the same refusal with the load signal. Requests whose deadline is after that moment are refused late in a stop, as those after the end were. The margins shrink with a short shutdown timeout, so that at least five sixths of it are left for running requests.

--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -34,7 +34,21 @@
 		refusal.Load = &call.Load{Draining: true}
 		return nil, refusal
 	}
-	return n.runLocal(ctx, &incoming.Request, reserved)
+	sender := ctx
+	ctx, cancel := n.untilCut(ctx)
+	answer, err := n.runLocal(ctx, &incoming.Request, reserved)
+	if err != nil {
+		cancel()
+		refusal := call.AsRefusal(err)
+		n.nameCut(sender, refusal)
+		if wasCut(refusal) {
+			n.log.event("call_cut").Str("request_id", incoming.RequestID).Str("route", incoming.Route).Str("sender", incoming.Sender).
+				Msg("forwarded call ended by the stop")
+		}
+		return nil, refusal
+	}
+	answer.Body = call.OnClose(answer.Body, cancel)
+	return answer, nil
 }
 
 // queueDelay is how long calls of an importance may wait for a slot.
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -76,12 +76,12 @@
 	if e.req.Idempotent && e.body.Held() {
 		return d.runRepeatable(ctx)
 	}
-	return d.runOnce(ctx)
+	return d.runOnce()
 }
 
 // runOnce runs a request that must not run twice: it is sent again only when it has certainly not run.
-func (d *dispatcher) runOnce(ctx context.Context) (*call.Answer, *call.Refusal) {
-	ctx, cancel := detached(ctx, d.entry.req.Deadline)
+func (d *dispatcher) runOnce() (*call.Answer, *call.Refusal) {
+	ctx, cancel := d.node.detached(d.entry.req.Deadline)
 	for {
 		choice, ok := d.choose(ctx)
 		if !ok {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -46,7 +46,10 @@
 	defer n.entered.Add(-1)
 	start := time.Now()
 	e := &entry{fields: n.headers.TakeRequest(r.Header), start: start}
-	answer, refusal := n.serve(w, r, e)
+	ctx, cancel := n.untilCut(r.Context())
+	defer cancel()
+	answer, refusal := n.serve(ctx, w, r, e)
+	n.nameCut(r.Context(), refusal)
 	took := time.Since(start)
 	n.observeRequest(e, answer, refusal)
 	n.metrics.request(refusal, took)
@@ -61,7 +64,7 @@
 	httpanswer.Write(w, r.Method, answer)
 }
 
-func (n *Node) serve(w http.ResponseWriter, r *http.Request, e *entry) (*call.Answer, *call.Refusal) {
+func (n *Node) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entry) (*call.Answer, *call.Refusal) {
 	if refusal := n.admit(r, e); refusal != nil {
 		return nil, refusal
 	}
@@ -77,7 +80,7 @@
 	}
 	e.body = body
 	if !e.route.Open || e.req.Workspace != "" {
-		if refusal := n.takeQuota(r.Context(), e); refusal != nil {
+		if refusal := n.takeQuota(ctx, e); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -87,7 +90,7 @@
 		refusal.RetryAfter = min(left, quotaRetryLimit)
 		return nil, refusal
 	}
-	return n.dispatch(r.Context(), e)
+	return n.dispatch(ctx, e)
 }
 
 // readBody reads a body that fits into memory. The bound on its time ends with it, because net/http would
@@ -241,7 +244,9 @@
 // logRequest writes a line for each request that got no good answer and for some of the others.
 func (n *Node) logRequest(r *http.Request, e *entry, answer *call.Answer, refusal *call.Refusal, took time.Duration) {
 	kind := "request_answered"
-	if refusal != nil {
+	if wasCut(refusal) {
+		kind = "request_cut"
+	} else if refusal != nil {
 		kind = "request_refused"
 	} else if answer.Status >= http.StatusInternalServerError {
 		kind = "request_failed"
@@ -265,7 +270,7 @@
 	event.Msg("request")
 }
 
-// detached returns a context that outlives the client but not the deadline.
-func detached(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+// detached returns a context that outlives the client, but neither the deadline nor the node.
+func (n *Node) detached(deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(n.running, deadline)
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -79,7 +79,11 @@
 	incarnation uint64
 	stopping    atomic.Bool
 	refusing    atomic.Bool // of forwarded calls, late in a stop
-	stopTimes   atomic.Pointer[stopTimes]
+	// running ends when a stop ends the requests that still run, and cut is their number.
+	running    context.Context
+	cutRunning context.CancelFunc
+	cut        atomic.Int64
+	stopTimes  atomic.Pointer[stopTimes]
 
 	configuration *configuration
 	registry      *registry
@@ -133,6 +137,7 @@
 		return id == requestID || id == "" // some refusals of an upstream name no request
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.running, n.cutRunning = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
 	n.registry = newRegistry(n)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -15,6 +15,8 @@
 	readinessTime = 2500 * time.Millisecond
 	// exitMargin is left of the shutdown timeout for the end of the process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin before that, requests that still run are ended, so that their answers arrive.
+	answerMargin = 100 * time.Millisecond
 	// stopPoll is how often progress is looked at.
 	stopPoll = 20 * time.Millisecond
 	// lateCallMargin before the end of a stop no call of a running request is begun. Such calls take a few tens
@@ -24,14 +26,24 @@
 	leaveTimeout = 250 * time.Millisecond
 )
 
+// ErrRequestsCut means that requests were still running when a stop had no time left.
+var ErrRequestsCut = errors.New("sidecar: requests were cut by the stop")
+
 // stopTimes are the times of a graceful shutdown.
 type stopTimes struct {
 	// acceptUntil is the time until which all requests are taken.
 	acceptUntil time.Time
-	// deadline is when requests that still run are cut.
+	// cutAt is when requests that still run are ended.
+	cutAt time.Time
+	// deadline is when their connections are closed.
 	deadline time.Time
 }
 
+func (s *Settings) stopTimes(start time.Time) *stopTimes {
+	deadline := start.Add(s.ShutdownTimeout - s.exitMargin())
+	return &stopTimes{acceptUntil: start.Add(s.readinessTime()), cutAt: deadline.Add(-s.answerMargin()), deadline: deadline}
+}
+
 // refuseLate refuses requests that a stopping node could not be sure to finish: those of clients when their
 // deadline is after its end, and calls of running requests just before it.
 func (n *Node) refuseLate(e *entry) *call.Refusal {
@@ -40,39 +52,60 @@
 	if stop == nil || now.Before(stop.acceptUntil) {
 		return nil
 	}
-	if e.route.Open && now.Before(stop.deadline.Add(-lateCallMargin)) || !e.route.Open && !e.req.Deadline.After(stop.deadline) {
+	if e.route.Open && now.Before(stop.deadline.Add(-lateCallMargin)) || !e.route.Open && !e.req.Deadline.After(stop.cutAt) {
 		return nil
 	}
 	return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops in %v", n.settings().Node, stop.deadline.Sub(now).Round(time.Millisecond))
 }
 
+// untilCut returns a context that ends with ctx, and at the end of a stop.
+func (n *Node) untilCut(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.running, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// nameCut makes the refusal of a request that a stop has ended name the stop. Others stay as they are.
+// sender is the context of who sent the request.
+func (n *Node) nameCut(sender context.Context, refusal *call.Refusal) {
+	if refusal == nil || refusal.Code != call.CodeCanceled || n.running.Err() == nil || sender.Err() != nil {
+		return
+	}
+	refusal.Code, refusal.Message = call.CodeDraining, fmt.Sprintf("node %s stopped before the answer", n.settings().Node)
+	if refusal.Outcome == call.MayHaveRun {
+		n.cut.Add(1)
+	}
+}
+
+// wasCut tells whether a stop has ended a request that may have run.
+func wasCut(refusal *call.Refusal) bool {
+	return refusal != nil && refusal.Code == call.CodeDraining && refusal.Outcome == call.MayHaveRun
+}
+
 // Stop is a graceful shutdown. The node says at once that it is not ready and that it stops, so that clients
 // and calls go elsewhere, but serves those that come until readinessTime has passed: its upstream may be the
 // only one of its service. Then it takes no forwarded calls and no requests that may outlast it, waits for
-// running requests, and leaves the registry. The upstream's own calls are served until shortly before the end.
+// running requests, ends those that take too long with an answer, and leaves the registry. The upstream's own
+// calls are served until shortly before the end. The error wraps ErrRequestsCut when requests were ended.
 func (n *Node) Stop() error {
 	start := time.Now()
-	s := n.settings()
-	deadline := start.Add(s.ShutdownTimeout - exitMargin)
-	n.stopTimes.Store(&stopTimes{acceptUntil: start.Add(s.readinessTime()), deadline: deadline})
+	times := n.settings().stopTimes(start)
+	n.stopTimes.Store(times)
 	n.stopping.Store(true)
 	n.log.event("stop").Int64("entered", n.entered.Load()).Int64("accepted", n.accepted.Load()).Msg("node stops")
 	n.registry.publish()
-	for time.Since(start) < s.readinessTime() && time.Now().Before(deadline) {
-		time.Sleep(stopPoll)
-	}
+	time.Sleep(min(time.Until(times.acceptUntil), time.Until(times.cutAt)))
 	n.refusing.Store(true)
-	for n.busy() && time.Now().Before(deadline) {
-		time.Sleep(stopPoll)
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	var errs []error
-	for _, server := range n.servers {
-		if err := server.http.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("sidecar: stop %s: %w", server.name, err))
-		}
+	n.awaitIdle(times.cutAt)
+	if n.busy() {
+		n.log.event("stop").Int64("entered", n.entered.Load()).Int64("accepted", n.accepted.Load()).Msg("running requests are ended")
+		n.cutRunning()
+		n.awaitIdle(times.deadline)
 	}
+	errs := n.closeServers(times.deadline)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	if err := n.registry.leave(leaveCtx); err != nil {
@@ -82,13 +115,38 @@
 	n.tasks.Wait()
 	n.forwarder.Close()
 	n.upstreams.Close()
-	n.log.event("stop").Dur("took_ms", time.Since(start)).Msg("node stopped")
+	cut := n.cut.Load()
+	if cut > 0 {
+		errs = append(errs, fmt.Errorf("%w: %d", ErrRequestsCut, cut))
+	}
+	n.log.event("stop").Dur("took_ms", time.Since(start)).Int64("cut", cut).AnErr("error", errors.Join(errs...)).Msg("node stopped")
 	return errors.Join(errs...)
 }
 
+// awaitIdle returns when no request is in progress, at the deadline at the latest.
+func (n *Node) awaitIdle(deadline time.Time) {
+	for n.busy() && time.Now().Before(deadline) {
+		time.Sleep(stopPoll)
+	}
+}
+
+// closeServers closes the listeners and waits for the last answers to be sent.
+func (n *Node) closeServers(deadline time.Time) []error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	var errs []error
+	for _, server := range n.servers {
+		if err := server.http.Shutdown(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("sidecar: stop %s: %w", server.name, err))
+		}
+	}
+	return errs
+}
+
 // Close ends the node at once, as a crash would, but for its goroutines.
 func (n *Node) Close() {
 	n.cancel()
+	n.cutRunning()
 	for _, server := range n.servers {
 		_ = server.http.Close()
 	}
--- a/sidecar/timing.go
+++ b/sidecar/timing.go
@@ -21,6 +21,10 @@
 	leaseAfterWithdrawal = 4 * time.Second
 	// readinessShare is the part of the shutdown timeout that is left for running requests at least.
 	readinessShare = 2
+	// exitShare and answerShare bound the margins at the end of a short shutdown timeout: together they stay below
+	// its last sixth, in which a running request may be cut.
+	exitShare   = 12
+	answerShare = 48
 )
 
 // DefaultSettings returns settings with usual values for the times that operators need not set.
@@ -57,3 +61,13 @@
 func (s *Settings) readinessTime() time.Duration {
 	return min(readinessTime, s.ShutdownTimeout/readinessShare)
 }
+
+// exitMargin is how long before the end of the shutdown timeout connections are closed.
+func (s *Settings) exitMargin() time.Duration {
+	return min(exitMargin, s.ShutdownTimeout/exitShare)
+}
+
+// answerMargin is how long before that running requests are ended.
+func (s *Settings) answerMargin() time.Duration {
+	return min(answerMargin, s.ShutdownTimeout/answerShare)
+}
--- a/sidecar/timing_test.go
+++ b/sidecar/timing_test.go
@@ -30,3 +30,13 @@
 	must.Positive(t, unbound.HeartbeatEvery)
 	must.Positive(t, unbound.readinessTime())
 }
+
+// A short shutdown timeout leaves its last sixth for what cannot be finished, and no more.
+func TestStopMarginsFollowShutdownTimeout(t *testing.T) {
+	for _, timeout := range []time.Duration{600 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, 30 * time.Second} {
+		s := Settings{ShutdownTimeout: timeout}
+		margin := s.exitMargin() + s.answerMargin()
+		must.Positive(t, margin)
+		must.Less(t, timeout/6, margin, must.Sprint(timeout))
+	}
+}
