Refuse calls that may take longer than a stop has left

Callers saw: an upstream's call through its stopping node was taken until 0.5 s before the end and then cut, so that the request that had made it failed after all its work.

Cause: the margin for late calls was a constant, while calls take as long as the service behind them; with four services in a chain, or a slow upstream, that is more.

Change: a call is taken late in a stop if at least four times its expected latency is left, as a hedge takes an attempt for late after that, and at least 0.5 s as before; or if its deadline comes before the end.

Before: TestStopCutsNoLateCall failed, "stop requests: context deadline exceeded" (upstream of 0.7 s).

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -19,8 +19,8 @@
 	answerMargin = 100 * time.Millisecond
 	// stopPoll is how often progress is looked at.
 	stopPoll = 20 * time.Millisecond
-	// lateCallMargin before the end of a stop no call of a running request is begun. Such calls take a few tens
-	// of milliseconds, and their deadline is that of the request.
+	// lateCallMargin before the end of a stop no call of a running request is begun, nor one that could take
+	// longer. The usual calls take a few tens of milliseconds; their deadline is that of the request.
 	lateCallMargin = 500 * time.Millisecond
 	// leaveTimeout bounds the call that removes the own entry.
 	leaveTimeout = 250 * time.Millisecond
@@ -45,17 +45,23 @@
 }
 
 // refuseLate refuses requests that a stopping node could not be sure to finish: those of clients when their
-// deadline is after its end, and calls of running requests just before it.
+// deadline is after its end, and calls of running requests when they may take longer than is left.
 func (n *Node) refuseLate(e *entry) *call.Refusal {
 	stop := n.stopTimes.Load()
 	now := time.Now()
 	if stop == nil || now.Before(stop.acceptUntil) {
 		return nil
 	}
-	if e.route.Open && now.Before(stop.deadline.Add(-lateCallMargin)) || !e.route.Open && !e.req.Deadline.After(stop.cutAt) {
+	left := stop.cutAt.Sub(now)
+	if e.route.Open && left >= n.longCall(e) || !e.req.Deadline.After(stop.cutAt) {
 		return nil
 	}
-	return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops in %v", n.settings().Node, stop.deadline.Sub(now).Round(time.Millisecond))
+	return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops in %v", n.settings().Node, left.Round(time.Millisecond))
+}
+
+// longCall is the time that a call rarely exceeds.
+func (n *Node) longCall(e *entry) time.Duration {
+	return max(lateCallMargin, hedgeFactor*n.picker.Expected(e.req.Service, e.req.Route))
 }
 
 // untilCut returns a context that ends with ctx, and at the end of a stop.
