Do not wait for unused connections at the end of a stop

Callers saw: nodes that were told to stop were away for up to their whole shutdown timeout, so that more nodes of a failure domain were away at the same time than the operators had planned.

Cause: http.Server.Shutdown counts a connection as used until 5 s after it was opened, even if nothing was sent on it. Other nodes' pools open connections to the control listener that they do not use.

Change: internal/httpserver closes such connections at the shutdown. From the moment at which no request is left the node refuses all, so none is taken on a connection that is being closed. Running requests are ended at the same time in a stop whatever it waits for.

--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -244,11 +244,12 @@
 // logRequest writes a line for each request that got no good answer and for some of the others.
 func (n *Node) logRequest(r *http.Request, e *entry, answer *call.Answer, refusal *call.Refusal, took time.Duration) {
 	kind := "request_answered"
-	if wasCut(refusal) {
+	switch {
+	case wasCut(refusal):
 		kind = "request_cut"
-	} else if refusal != nil {
+	case refusal != nil:
 		kind = "request_refused"
-	} else if answer.Status >= http.StatusInternalServerError {
+	case answer.Status >= http.StatusInternalServerError:
 		kind = "request_failed"
 	}
 	event := n.log.event(kind)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -29,6 +29,7 @@
 
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
@@ -79,6 +80,7 @@
 	incarnation uint64
 	stopping    atomic.Bool
 	refusing    atomic.Bool // of forwarded calls, late in a stop
+	closing     atomic.Bool // at the end of a stop, when all requests are refused
 	// running ends when a stop ends the requests that still run, and cut is their number.
 	running    context.Context
 	cutRunning context.CancelFunc
@@ -114,6 +116,7 @@
 	name     string
 	address  string
 	http     *http.Server
+	closer   *httpserver.Closer
 	listener net.Listener
 }
 
@@ -180,6 +183,7 @@
 	}
 	for _, server := range n.servers {
 		server.http.ReadHeaderTimeout = headerTimeout
+		server.closer = httpserver.New(server.http)
 		server.http.ErrorLog = stdlog.New(n.log.log.With().Str("listener", server.name).Logger(), "", 0)
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -52,6 +52,9 @@
 	if stop == nil || now.Before(stop.acceptUntil) {
 		return nil
 	}
+	if n.closing.Load() {
+		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s has stopped", n.settings().Node)
+	}
 	left := stop.cutAt.Sub(now)
 	if e.route.Open && left >= n.longCall(e) || !e.req.Deadline.After(stop.cutAt) {
 		return nil
@@ -103,14 +106,12 @@
 	n.stopping.Store(true)
 	n.log.event("stop").Int64("entered", n.entered.Load()).Int64("accepted", n.accepted.Load()).Msg("node stops")
 	n.registry.publish()
+	cut := time.AfterFunc(time.Until(times.cutAt), n.endRunning)
+	defer cut.Stop()
 	time.Sleep(min(time.Until(times.acceptUntil), time.Until(times.cutAt)))
 	n.refusing.Store(true)
-	n.awaitIdle(times.cutAt)
-	if n.busy() {
-		n.log.event("stop").Int64("entered", n.entered.Load()).Int64("accepted", n.accepted.Load()).Msg("running requests are ended")
-		n.cutRunning()
-		n.awaitIdle(times.deadline)
-	}
+	n.awaitIdle(times.deadline)
+	n.closing.Store(true)
 	errs := n.closeServers(times.deadline)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
@@ -118,17 +119,23 @@
 		n.log.event("registration_failed").Err(err).Msg("own entry not removed; its lease ends")
 	}
 	n.cancel()
+	n.cutRunning()
 	n.tasks.Wait()
 	n.forwarder.Close()
 	n.upstreams.Close()
-	cut := n.cut.Load()
-	if cut > 0 {
-		errs = append(errs, fmt.Errorf("%w: %d", ErrRequestsCut, cut))
+	if count := n.cut.Load(); count > 0 {
+		errs = append(errs, fmt.Errorf("%w: %d", ErrRequestsCut, count))
 	}
-	n.log.event("stop").Dur("took_ms", time.Since(start)).Int64("cut", cut).AnErr("error", errors.Join(errs...)).Msg("node stopped")
+	n.log.event("stop").Dur("took_ms", time.Since(start)).Int64("cut", n.cut.Load()).AnErr("error", errors.Join(errs...)).Msg("node stopped")
 	return errors.Join(errs...)
 }
 
+// endRunning ends the requests that still run.
+func (n *Node) endRunning() {
+	n.log.event("stop").Int64("entered", n.entered.Load()).Int64("accepted", n.accepted.Load()).Msg("running requests are ended")
+	n.cutRunning()
+}
+
 // awaitIdle returns when no request is in progress, at the deadline at the latest.
 func (n *Node) awaitIdle(deadline time.Time) {
 	for n.busy() && time.Now().Before(deadline) {
@@ -142,7 +149,7 @@
 	defer cancel()
 	var errs []error
 	for _, server := range n.servers {
-		if err := server.http.Shutdown(ctx); err != nil {
+		if err := server.closer.Shutdown(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("sidecar: stop %s: %w", server.name, err))
 		}
 	}
