--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -61,9 +62,44 @@
 		n.writeRefusal(w, e.fields.ID, refusal)
 		return
 	}
+	if !answer.Buffered {
+		stream := &streamedBody{ReadCloser: answer.Body}
+		answer.Body = stream
+		defer func() { n.logBroken(e, stream) }()
+	}
 	httpanswer.Write(w, r.Method, answer)
 }
 
+// streamedBody remembers how far an answer was passed on and why it broke off.
+type streamedBody struct {
+	io.ReadCloser
+	bytes int64
+	err   error
+}
+
+// Read reads from the body.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
+// logBroken writes a line for an answer whose client has got a part of it.
+func (n *Node) logBroken(e *entry, stream *streamedBody) {
+	if stream.err == nil {
+		return
+	}
+	if n.running.Err() != nil {
+		n.cut.Add(1)
+	}
+	n.metrics.outcomes.Add("answer_broken", 1)
+	n.log.event("answer_broken").Str("request_id", e.fields.ID).Str("route", e.route.Name).Int64("bytes", stream.bytes).
+		Bool("stopping", n.stopping.Load()).Err(stream.err).Msg("answer broke off; the client's connection is closed")
+}
+
 func (n *Node) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entry) (*call.Answer, *call.Refusal) {
 	if refusal := n.admit(r, e); refusal != nil {
 		return nil, refusal
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/call"
 )
 
 // stopWithin gives the nodes a shutdown timeout.
@@ -136,3 +138,21 @@
 	must.NoError(t, <-stopped)
 	must.Less(t, 4*time.Second, time.Since(started))
 }
+
+// An answer that breaks off while it is passed on leaves a line, as its client sees only a closed connection.
+func TestBrokenAnswerIsLogged(t *testing.T) {
+	f := startFleet(t, 1, always(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		panic(http.ErrAbortHandler)
+	}))
+	got := f.send(f.nodes[0], http.MethodGet, "/read/a", "broken-1", "key-1", time.Second)
+	must.Error(t, got.err)
+	f.eventually(func() error {
+		if len(f.logs.find(`"event":"answer_broken"`, "broken-1", `"bytes":131072`)) == 0 {
+			return errors.New("no line")
+		}
+		return nil
+	})
+}
