Answer uploads that are still coming in at the end of a stop

Callers saw: a client whose small body was still on its way when a stop ended got a closed connection, and could not know that nothing had run.

Cause: the read of the body waits for the request's deadline only, and the contexts that a stop ends do not reach it.

Change: the end of a stop ends the read too; the answer is 503, not run, with the code draining.

Before: TestStopAnswersIncompleteUpload failed, "stop requests: context deadline exceeded". After: it passes.

--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -110,9 +110,9 @@
 	if refusal := n.throttled(e); refusal != nil {
 		return nil, refusal
 	}
-	body, err := readBody(w, r, e.req.Deadline)
+	body, err := n.readBody(w, r, e.req.Deadline)
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, n.bodyRefusal(err)
 	}
 	e.body = body
 	if !e.route.Open || e.req.Workspace != "" {
@@ -129,9 +129,9 @@
 	return n.dispatch(ctx, e)
 }
 
-// readBody reads a body that fits into memory. The bound on its time ends with it, because net/http would
-// otherwise take the deadline for the client's departure.
-func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*call.ReplayBody, error) {
+// readBody reads a body that fits into memory, until the deadline or the end of a stop. The bound on its time ends
+// with it, because net/http would otherwise take the deadline for the client's departure.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*call.ReplayBody, error) {
 	if r.ContentLength == 0 {
 		return call.NewReplayBody(&call.Request{})
 	}
@@ -139,7 +139,11 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
+	cut := context.AfterFunc(n.running, func() {
+		_ = controller.SetReadDeadline(time.Now()) // fails only when the connection has gone
+	})
 	body, err := call.NewReplayBody(&call.Request{Body: r.Body, ContentLength: r.ContentLength})
+	cut()
 	if err == nil && body.Held() {
 		err = controller.SetReadDeadline(time.Time{})
 	}
@@ -237,7 +241,10 @@
 }
 
 // bodyRefusal turns a failed read of a client's body into a refusal.
-func bodyRefusal(err error) *call.Refusal {
+func (n *Node) bodyRefusal(err error) *call.Refusal {
+	if n.running.Err() != nil {
+		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stopped before the body arrived", n.settings().Node)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return call.NewRefusal(call.CodeDeadline, call.NotRun, "request body did not arrive within the deadline")
 	}
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"net"
@@ -156,3 +157,23 @@
 		return nil
 	})
 }
+
+// Guards against uploads that end without an answer when a stop has no time left for the rest of the body: the
+// caller is told that nothing has run.
+func TestStopAnswersIncompleteUpload(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	f.stopWithin(1500 * time.Millisecond)
+	conn, err := net.Dial("tcp", f.nodes[0].settings.RequestAddress)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprint(conn, "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: half-1\r\nTimeout-Ms: 10000\r\nKey: key-1\r\nContent-Length: 10\r\n\r\nhalf")
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, f.nodes[0].end())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.Eq(t, 0, f.totalRuns())
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "half-1", `"code":"draining"`))
+}
