Bound the head of an answer

Seen: an upstream that sent a head without end, whether one status line, one header line or header lines, made its node take 434 MB in 2 s (as reported, not measured again). The call ended only at its deadline, with 504.

Cause: ReadAnswer gives http.ReadResponse a reader without a bound, and net/http holds a line of any length.

Change: while a head is read, the connection's source returns an error after Config.MaxHeadBytes, 64 KB for upstreams and 128 KB for nodes, which add their metadata. The head is malformed then, the connection is closed, and the call may have run.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -30,6 +30,7 @@
 	pool    *Pool
 	address string
 	raw     net.Conn
+	source  *headSource
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// Reused tells that the connection has carried a request before.
@@ -119,9 +120,34 @@
 	return c.Flush()
 }
 
+// headSource reads from a connection. While a head is read it bounds the bytes, as http.ReadResponse holds
+// a line of any length.
+type headSource struct {
+	raw   io.Reader
+	bound bool
+	left  int
+}
+
+// Read implements io.Reader.
+func (s *headSource) Read(p []byte) (int, error) {
+	if !s.bound {
+		return s.raw.Read(p)
+	}
+	if s.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.raw.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
+}
+
+var errHeadTooLong = errors.New("httpconn: head is too long")
+
 // ReadAnswer reads the head of the next answer. Its body must be read to its end before the connection is
-// released. Informational answers are returned like others.
+// released. Informational answers are returned like others. A head above Config.MaxHeadBytes is malformed.
 func (c *Conn) ReadAnswer(method string) (*Answer, error) {
+	c.source.bound, c.source.left = true, c.pool.config.MaxHeadBytes-c.reader.Buffered()
+	defer func() { c.source.bound = false }() // net/http bounds chunk sizes and trailers of the body
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -34,6 +34,8 @@
 	// MaxIdle is the age at which an idle connection is closed. It must be below the idle timeout of the
 	// server, or requests cross its close.
 	MaxIdle time.Duration
+	// MaxHeadBytes bounds the status line and the header of an answer together.
+	MaxHeadBytes int
 	// MaxIdlePerAddress bounds the idle connections kept to one address; each costs about 9 KB.
 	MaxIdlePerAddress int
 	// KeepAlive is how long a connection may hear nothing before the kernel probes it, and the time
@@ -120,9 +122,10 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
+	source := &headSource{raw: raw}
 	return &Conn{
 		pool: p, address: address, raw: raw, lifetime: p.config.MaxIdle,
-		reader: bufio.NewReaderSize(raw, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
+		source: source, reader: bufio.NewReaderSize(source, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
 	}, nil
 }
 
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -56,6 +56,7 @@
 	return &Forwarder{sender: sender, pool: httpconn.NewPool(httpconn.Config{
 		DialTimeout:       forwardDialTimeout,
 		MaxIdle:           forwardMaxIdle,
+		MaxHeadBytes:      maxResponseHeaderBytes,
 		MaxIdlePerAddress: forwardIdleConnections,
 		KeepAlive:         forwardKeepAlive,
 		UserTimeout:       forwardUserTimeout,
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -46,6 +46,7 @@
 	return &Direct{belongs: belongs, pool: httpconn.NewPool(httpconn.Config{
 		DialTimeout:       directDialTimeout,
 		MaxIdle:           directMaxIdle,
+		MaxHeadBytes:      maxResponseHeaderBytes,
 		MaxIdlePerAddress: directIdleConnections,
 	})}
 }
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
+)
+
+const (
+	endlessDeadline = 2 * time.Second
+	// endlessBytes is what a client may take of an answer that it does not stream: its own bounds and the
+	// buffers of the kernel.
+	endlessBytes = 1 << 20
+
+	okHead  = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n"
+	chunked = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// runEndless runs a call at a server that never ends its answer.
+func runEndless(ctx context.Context, t *testing.T, server *endlesstest.Server) (*call.Answer, error) {
+	t.Helper()
+	d := newDirect()
+	t.Cleanup(d.Close)
+	return d.Run(ctx, server.Address, &call.Request{
+		Context: call.Context{RequestID: "r", Deadline: time.Now().Add(endlessDeadline)},
+		Method:  http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+	})
+}
+
+// closed waits until the client has closed its connection.
+func closed(t *testing.T, server *endlesstest.Server) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return server.Open() == 0 }),
+		wait.Timeout(endlessDeadline), wait.Gap(5*time.Millisecond)))
+}
+
+// Bytes without end that are certainly no answer end the call at once.
+func TestDirectEndlessGarbage(t *testing.T) {
+	for name, answer := range map[string]struct{ first, unit string }{
+		"status line":     {"HTTP/1.1 200 ", "x"},
+		"header line":     {okHead + "A: ", "x"},
+		"header lines":    {okHead, "A: x\r\n"},
+		"trailer line":    {chunked + "1\r\nx\r\n0\r\nA: ", "x"},
+		"trailer lines":   {chunked + "1\r\nx\r\n0\r\n", "A: x\r\n"},
+		"chunk extension": {chunked + "1;", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, answer.first, answer.unit)
+			start := time.Now()
+			_, err := runEndless(t.Context(), t, server)
+			took := time.Since(start)
+			must.Error(t, err)
+			must.True(t, errors.Is(err, httpconn.ErrMalformed) || errors.Is(err, ErrMalformedAnswer), must.Sprint(err))
+			must.False(t, errors.Is(err, ErrNotConnected), must.Sprint("the call may have run"))
+			closed(t, server)
+			must.Less(t, endlessBytes, server.Sent())
+			must.Less(t, endlessDeadline/2, took)
+		})
+	}
+}
