Bound the informational answers before a final one

Seen: an upstream that sent informational answers without end kept its node reading for the whole deadline of the call.

Cause: readFinal skips informational answers in a loop without a bound.

Before, TestDirectEndlessGarbage/informational failed after 2.10 s: the stand-in had sent all of its 32 MB, and the call ended at its deadline of 2 s with no malformed answer.

Change: after ten informational answers the next one is malformed. The test passes at once, with the race detector.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -270,14 +270,18 @@
 // ErrBody means that the body of the request could not be read from its source.
 var ErrBody = errors.New("httpconn: request body failed")
 
+// maxInformational bounds the informational answers before a final one; servers send one or two.
+const maxInformational = 10
+
 // readFinal skips informational answers.
 func (c *Conn) readFinal(method string) (*Answer, error) {
-	for {
+	for range maxInformational + 1 {
 		answer, err := c.ReadAnswer(method)
 		if err != nil || answer.Status >= http.StatusOK {
 			return answer, err
 		}
 	}
+	return nil, fmt.Errorf("%w: more than %d informational answers", ErrMalformed, maxInformational)
 }
 
 // bodySource remembers the read error of a body.
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -49,6 +49,7 @@
 		"status line":     {"HTTP/1.1 200 ", "x"},
 		"header line":     {okHead + "A: ", "x"},
 		"header lines":    {okHead, "A: x\r\n"},
+		"informational":   {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 		"trailer line":    {chunked + "1\r\nx\r\n0\r\nA: ", "x"},
 		"trailer lines":   {chunked + "1\r\nx\r\n0\r\n", "A: x\r\n"},
 		"chunk extension": {chunked + "1;", "x"},
