Do not read the rest of an answer that is discarded

Seen: an upstream that sent an unsigned answer whose body did not end kept the request, its connection and the slot of the upstream until the deadline, and the node read at full speed all the while.

Cause: the body of http.ReadResponse reads to its end when it is closed. Discarded answers are closed before their connection is.

Change: closing the body of an Answer reads nothing.

--- a/internal/endlesstest/endlesstest.go
+++ b/internal/endlesstest/endlesstest.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// mostSent bounds the harm of a client without a bound, in bytes; the connection stays open after it.
+	// mostSent bounds an answer in bytes, and so the harm of a client without a bound; the connection stays
+	// open after it.
 	mostSent = 32 << 20
 	// block is the size of one write in bytes.
 	block = 4 << 10
@@ -28,8 +29,9 @@
 		_ = tcp.SetWriteBuffer(sendBuffer)
 	}
 	next, repeated := first, strings.Repeat(unit, 1+block/len(unit))
-	for sent.Load() < mostSent {
+	for left := mostSent; left > 0; {
 		n, err := io.WriteString(conn, next)
+		left -= n
 		sent.Add(int64(n))
 		if err != nil {
 			return
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -50,7 +50,8 @@
 	Length int64
 }
 
-// Answer is the head of an answer with its body, which ends with an error when it is broken off.
+// Answer is the head of an answer with its body, which ends with an error when it is broken off. Closing the
+// body reads nothing, so a connection whose answer is discarded must be closed.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -156,7 +157,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Body: response.Body,
+		Status: response.StatusCode, Header: response.Header,
+		Body:   io.NopCloser(response.Body), // whose own Close reads to the end
 		Length: response.ContentLength, lastOnConnection: response.Close,
 	}, nil
 }
--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -42,3 +43,40 @@
 	must.Eq(t, 1, f.totalRuns())
 	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-2", "key-1", time.Second).status)
 }
+
+// An upstream that sent an unsigned answer with a body without end held its slot until the deadline.
+func TestEndlessDiscardedBody(t *testing.T) {
+	var sent atomic.Int64
+	f := startFleet(t, 1, always(pour("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", &sent)))
+	start := time.Now()
+	got := f.send(f.nodes[0], http.MethodPost, "/once/endless", "id-1", "key-1", 2*time.Second)
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusBadGateway, got.status, must.Sprint(got.body))
+	must.Less(t, 1<<20, sent.Load())
+	must.Less(t, time.Second, time.Since(start))
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-2", "key-1", time.Second).status)
+}
+
+// A success without end is cut at the deadline, so that the client cannot take it for whole, and frees the slot
+// of its upstream.
+func TestEndlessBody(t *testing.T) {
+	for name, body := range map[string]struct{ first, unit string }{
+		"with a length": {"Content-Length: 1099511627776\r\n\r\n", "x"},
+		"chunked":       {"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"until close":   {"\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			head := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nInstance-Id: i-0\r\nResponse-Signature: signed\r\n"
+			f := startFleet(t, 1, always(pour(head+body.first, body.unit, &sent)))
+			for i := range 10 { // more than the slots
+				start := time.Now()
+				got := f.send(f.nodes[0], http.MethodPost, "/once/endless", fmt.Sprint("id-", i), "key-1", 100*time.Millisecond)
+				must.Error(t, got.err, must.Sprint(i, got.status, got.body))
+				must.Less(t, time.Second, time.Since(start))
+			}
+			must.Eq(t, 10, f.totalRuns())
+			must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-whole", "key-1", time.Second).status)
+		})
+	}
+}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -68,3 +69,48 @@
 		})
 	}
 }
+
+// endlessBodies are proper heads with bodies of every framing that do not end.
+var endlessBodies = map[string]struct{ first, unit string }{
+	"with a length": {okHead + "Content-Length: 1099511627776\r\n\r\n", "x"},
+	"chunked":       {chunked, "4\r\nxxxx\r\n"},
+	"until close":   {okHead + "\r\n", "x"},
+}
+
+// A body without end is taken as its reader reads it, ends at the deadline, and never looks whole.
+func TestDirectEndlessBody(t *testing.T) {
+	for name, body := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, body.first, body.unit)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline/4)
+			defer cancel()
+			answer, err := runEndless(ctx, t, server)
+			must.NoError(t, err)
+			must.False(t, answer.Buffered)
+			time.Sleep(endlessDeadline / 20) // in which nothing is read
+			must.Less(t, endlessBytes, server.Sent())
+			_, err = io.Copy(io.Discard, answer.Body)
+			must.Error(t, err)
+			must.Error(t, ctx.Err(), must.Sprint("the body ended before the deadline"))
+			must.NoError(t, answer.Body.Close())
+			closed(t, server)
+		})
+	}
+}
+
+// An answer that is discarded was read on until the deadline when its body did not end.
+func TestDirectDiscardedEndlessBody(t *testing.T) {
+	for name, body := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, body.first, body.unit)
+			start := time.Now()
+			answer, err := runEndless(t.Context(), t, server)
+			must.NoError(t, err)
+			must.NoError(t, answer.Body.Close())
+			took := time.Since(start)
+			closed(t, server)
+			must.Less(t, endlessBytes, server.Sent())
+			must.Less(t, endlessDeadline/2, took)
+		})
+	}
+}
