Bound the bytes of another request's answer that are skipped

Seen: an upstream that answered another request with a body without end kept its node reading at full speed for the whole deadline of the call.

Cause: a stray answer is skipped with io.Copy to its end.

Change: at most 1 MB of each stray answer is skipped. Above it the connection is closed, the answer is malformed, and the call may have run. The test passes with the race detector: each case in less than half of the deadline.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -62,6 +62,15 @@
 	lastOnConnection bool
 }
 
+// Skip reads the body to its end, so that the next answer can be read. A body above limit bytes is malformed.
+func (a *Answer) Skip(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, limit+1))
+	if err != nil || n <= limit {
+		return err
+	}
+	return fmt.Errorf("%w: body to skip is above %d bytes", ErrMalformed, limit)
+}
+
 // WriteHead sends the head of a request and its body's framing, but no byte of the body.
 func (c *Conn) WriteHead(h *Head) error {
 	w := c.writer
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -25,6 +24,8 @@
 	deadlineGrace = 100 * time.Millisecond
 	// maxStrayAnswers bounds the answers to other requests that are skipped on one connection.
 	maxStrayAnswers = 2
+	// maxStrayBytes bounds the body of each of them in bytes. A larger one costs more than a new connection.
+	maxStrayBytes = 1 << 20
 )
 
 // Errors of Direct besides those of Client.
@@ -100,7 +101,7 @@
 		if stray == maxStrayAnswers {
 			return nil, fmt.Errorf("%w: answers of other requests", ErrMalformedAnswer)
 		}
-		if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		if err = response.Skip(maxStrayBytes); err != nil {
 			break
 		}
 		response, err = conn.ReadAnswer(req.Method)
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,6 +78,28 @@
 	"until close":   {okHead + "\r\n", "x"},
 }
 
+// The body of another request's answer was skipped without a bound.
+func TestDirectEndlessStrayAnswer(t *testing.T) {
+	for name, stray := range map[string]struct{ first, unit string }{
+		"with a length": {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1099511627776\r\n\r\n", "x"},
+		"chunked":       {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+		"until close":   {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x"},
+		"many answers":  {"", reply("other", "x")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, stray.first, stray.unit)
+			start := time.Now()
+			_, err := runEndless(t.Context(), t, server)
+			took := time.Since(start)
+			must.Error(t, err)
+			closed(t, server)
+			must.Less(t, maxStrayBytes+4*endlessBytes, server.Sent())
+			must.Less(t, endlessDeadline/2, took)
+			must.True(t, errors.Is(err, httpconn.ErrMalformed) || errors.Is(err, ErrMalformedAnswer), must.Sprint(err))
+		})
+	}
+}
+
 // A body without end is taken as its reader reads it, ends at the deadline, and never looks whole.
 func TestDirectEndlessBody(t *testing.T) {
 	for name, body := range endlessBodies {
