Bound the body of a refused reservation

Seen: a node that refused a reservation with a body without end kept the sender reading until the deadline of the call, far beyond the time for a reservation, so that no time was left for another destination.

Cause: awaitReservation reads the body with io.Copy to its end, under the deadline of the whole call.

Change: at most 4 KB are read, and within the time for the reservation. Beyond it the connection is closed; the call has not run, as its body was not begun.

--- /dev/null
+++ b/peer/endless_test.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"encoding/base64"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
+	callv1 "github.com/cowslipglade/cowslipglade/rpc/call/v1"
+)
+
+// The body of a refused reservation was read without a bound. The call has not run, whatever comes.
+func TestForwardEndlessRefusal(t *testing.T) {
+	for name, body := range map[string]struct{ first, unit string }{
+		"with a length": {"Content-Length: 1099511627776\r\n\r\n", "x"},
+		"chunked":       {"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"header lines":  {"", "A: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, "HTTP/1.1 503 Service Unavailable\r\n"+body.first, body.unit)
+			f := NewForwarder("n1")
+			defer f.Close()
+			start := time.Now()
+			_, err := f.Forward(t.Context(), Destination{Address: server.Address}, forwardRequest(false, "x"), 2*time.Second)
+			took := time.Since(start)
+			must.Eq(t, call.NotRun, call.AsRefusal(err).Outcome)
+			must.Less(t, 1<<20, server.Sent())
+			must.Less(t, time.Second, took)
+		})
+	}
+}
+
+// A destination that refuses a call after its body and goes on without end is left at once.
+func TestForwardEndlessAnswer(t *testing.T) {
+	data, err := proto.Marshal(&callv1.AnswerMetadata{CallId: "c1", Refusal: refusalMessage(call.NewRefusal(call.CodeOverloaded, call.NotRun, "full"))})
+	must.NoError(t, err)
+	head := "HTTP/1.1 503 Service Unavailable\r\n" + headerAnswer + ": " + base64.RawURLEncoding.EncodeToString(data) + "\r\n"
+	server := endlesstest.Start(t, head+"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n")
+	f := NewForwarder("n1")
+	defer f.Close()
+	start := time.Now()
+	_, err = f.Forward(t.Context(), Destination{Address: server.Address}, forwardRequest(true, "x"), 2*time.Second)
+	took := time.Since(start)
+	must.Eq(t, call.CodeOverloaded, call.AsRefusal(err).Code)
+	must.Less(t, 1<<20, server.Sent())
+	must.Less(t, time.Second, took)
+}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -38,6 +38,9 @@
 	forwardUserTimeout = 2 * time.Second
 )
 
+// maxRefusalBytes bounds the body of a refused reservation in bytes; an Acceptor sends none.
+const maxRefusalBytes = 4 << 10
+
 // AcceptorIdleTimeout is for the server that an Acceptor is mounted on.
 const AcceptorIdleTimeout = 30 * time.Second
 
@@ -167,11 +170,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNoReservation, err)
 	}
-	conn.SetDeadline(req.Deadline.Add(bodyGrace))
 	if response.Status == http.StatusProcessing {
+		conn.SetDeadline(req.Deadline.Add(bodyGrace))
 		return nil
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if err := response.Skip(maxRefusalBytes); err != nil {
 		return fmt.Errorf("%w: %w", ErrNoReservation, err)
 	}
 	meta, err := decodeMetadata(response.Header.Get(headerAnswer))
