Bound the heads of the store's and of control messages' answers

Seen: an answer of the store, or of a node to a control message, whose head did not end was taken up to 10 MB for each call.

Change: MaxResponseHeaderBytes is 64 KB for the stores and 128 KB for nodes, as for their calls.

--- a/kvstore/etcd.go
+++ b/kvstore/etcd.go
@@ -87,6 +87,8 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	// Redirects are refused: the gateway sends none, and following one could repeat a write.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -280,6 +282,9 @@
 	return response, connected.Load(), err
 }
 
+// maxHeadBytes bounds the head of an answer; the default of 10 MB would be held for each call.
+const maxHeadBytes = 64 << 10
+
 // maxErrorBytes bounds what is read of an error answer.
 const maxErrorBytes = 8 << 10
 
--- a/peer/control.go
+++ b/peer/control.go
@@ -35,6 +35,8 @@
 				MaxIdleConns:        64, // control goes to changing peers; few connections are used again
 				IdleConnTimeout:     idleTimeout,
 				DisableCompression:  true,
+
+				MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			},
 		},
 	}
--- a/peer/endless_test.go
+++ b/peer/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/base64"
+	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
+	"github.com/cowslipglade/cowslipglade/internal/signature"
 	callv1 "github.com/cowslipglade/cowslipglade/rpc/call/v1"
 )
 
@@ -49,3 +52,25 @@
 	must.Less(t, 1<<20, server.Sent())
 	must.Less(t, time.Second, took)
 }
+
+// The head of a control message's answer was held up to 10 MB; its body was bounded.
+func TestControlEndlessAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, unit string
+		most        int64
+	}{
+		"header line":  {"HTTP/1.1 200 OK\r\nA: ", "x", 1 << 20},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "A: x\r\n", 1 << 20},
+		"body":         {"HTTP/1.1 200 OK\r\n\r\n", "x", 4 * maxControlBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, test.first, test.unit)
+			control := NewControlClient(netip.MustParseAddr("127.0.0.1"), signature.NewKeyring([]string{"key"}))
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address+"/", nil)
+			must.NoError(t, err)
+			_, err = control.Do(request)
+			must.Error(t, err)
+			must.Less(t, test.most, server.Sent())
+		})
+	}
+}
