--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -30,6 +30,7 @@
 	pool    *Pool
 	address string
 	raw     net.Conn
+	source  *headSource
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// Reused tells that the connection has carried a request before.
@@ -49,7 +50,8 @@
 	Length int64
 }
 
-// Answer is the head of an answer with its body, which ends with an error when it is broken off.
+// Answer is the head of an answer with its body, which ends with an error when it is broken off. Closing the
+// body reads nothing, so a connection whose answer is discarded must be closed.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -60,6 +62,15 @@
 	lastOnConnection bool
 }
 
+// Skip reads the body to its end, so that the next answer can be read. A body above limit bytes is malformed.
+func (a *Answer) Skip(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, limit+1))
+	if err != nil || n <= limit {
+		return err
+	}
+	return fmt.Errorf("%w: body to skip is above %d bytes", ErrMalformed, limit)
+}
+
 // WriteHead sends the head of a request and its body's framing, but no byte of the body.
 func (c *Conn) WriteHead(h *Head) error {
 	w := c.writer
@@ -119,9 +130,34 @@
 	return c.Flush()
 }
 
+// headSource reads from a connection. While a head is read it bounds the bytes, as http.ReadResponse holds
+// a line of any length.
+type headSource struct {
+	raw   io.Reader
+	bound bool
+	left  int
+}
+
+// Read implements io.Reader.
+func (s *headSource) Read(p []byte) (int, error) {
+	if !s.bound {
+		return s.raw.Read(p)
+	}
+	if s.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.raw.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
+}
+
+var errHeadTooLong = errors.New("httpconn: head is too long")
+
 // ReadAnswer reads the head of the next answer. Its body must be read to its end before the connection is
-// released. Informational answers are returned like others.
+// released. Informational answers are returned like others. A head above Config.MaxHeadBytes is malformed.
 func (c *Conn) ReadAnswer(method string) (*Answer, error) {
+	c.source.bound, c.source.left = true, c.pool.config.MaxHeadBytes-c.reader.Buffered()
+	defer func() { c.source.bound = false }() // net/http bounds chunk sizes and trailers of the body
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
@@ -130,7 +166,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Body: response.Body,
+		Status: response.StatusCode, Header: response.Header,
+		Body:   io.NopCloser(response.Body), // whose own Close reads to the end
 		Length: response.ContentLength, lastOnConnection: response.Close,
 	}, nil
 }
@@ -244,14 +281,18 @@
 // ErrBody means that the body of the request could not be read from its source.
 var ErrBody = errors.New("httpconn: request body failed")
 
+// maxInformational bounds the informational answers before a final one; servers send one or two.
+const maxInformational = 10
+
 // readFinal skips informational answers.
 func (c *Conn) readFinal(method string) (*Answer, error) {
-	for {
+	for range maxInformational + 1 {
 		answer, err := c.ReadAnswer(method)
 		if err != nil || answer.Status >= http.StatusOK {
 			return answer, err
 		}
 	}
+	return nil, fmt.Errorf("%w: more than %d informational answers", ErrMalformed, maxInformational)
 }
 
 // bodySource remembers the read error of a body.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -38,6 +38,9 @@
 	forwardUserTimeout = 2 * time.Second
 )
 
+// maxRefusalBytes bounds the body of a refused reservation in bytes; an Acceptor sends none.
+const maxRefusalBytes = 4 << 10
+
 // AcceptorIdleTimeout is for the server that an Acceptor is mounted on.
 const AcceptorIdleTimeout = 30 * time.Second
 
@@ -56,6 +59,7 @@
 	return &Forwarder{sender: sender, pool: httpconn.NewPool(httpconn.Config{
 		DialTimeout:       forwardDialTimeout,
 		MaxIdle:           forwardMaxIdle,
+		MaxHeadBytes:      maxResponseHeaderBytes,
 		MaxIdlePerAddress: forwardIdleConnections,
 		KeepAlive:         forwardKeepAlive,
 		UserTimeout:       forwardUserTimeout,
@@ -166,11 +170,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNoReservation, err)
 	}
-	conn.SetDeadline(req.Deadline.Add(bodyGrace))
 	if response.Status == http.StatusProcessing {
+		conn.SetDeadline(req.Deadline.Add(bodyGrace))
 		return nil
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if err := response.Skip(maxRefusalBytes); err != nil {
 		return fmt.Errorf("%w: %w", ErrNoReservation, err)
 	}
 	meta, err := decodeMetadata(response.Header.Get(headerAnswer))
