Bound the log lines of requests that ended well more tightly

Up to 86% of the bytes were "request_answered" lines.

Change: these are bounded to 4 lines a second with 12 at once; other kinds stay at 20 and 60. What is left out is still counted in "suppressed".

Before: 1000 answered requests at once left 60 lines, as many as failures. After: 12 (TestLogLeavesRoomForFailures).

--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -286,7 +286,7 @@
 
 // logRequest writes a line for each request that got no good answer and for some of the others.
 func (n *Node) logRequest(r *http.Request, e *entry, answer *call.Answer, refusal *call.Refusal, took time.Duration) {
-	kind := "request_answered"
+	kind := eventAnswered
 	switch {
 	case wasCut(refusal):
 		kind = "request_cut"
--- a/sidecar/log.go
+++ b/sidecar/log.go
@@ -14,8 +14,11 @@
 	logBuffer = 1024
 	// linesPerSecond bounds the lines of one kind. Writing a line costs some microseconds of processor time.
 	linesPerSecond = 20
-	// lineBurst is the number of lines of one kind that may be written at once.
-	lineBurst = 60
+	// answeredPerSecond bounds the lines of requests that ended well, which would leave little room for the others
+	// where operators keep a fixed number of bytes.
+	answeredPerSecond = 4
+	// burstSeconds of its rate may be written of a kind at once.
+	burstSeconds = 3
 )
 
 // NewLogWriter returns a writer that never blocks. Lines that do not fit into its buffer are dropped and
@@ -32,6 +35,17 @@
 	kinds map[string]*lineBudget
 }
 
+// eventAnswered is the kind of line for requests that ended well.
+const eventAnswered = "request_answered"
+
+// lineRate returns the lines per second that a kind may have.
+func lineRate(kind string) float64 {
+	if kind == eventAnswered {
+		return answeredPerSecond
+	}
+	return linesPerSecond
+}
+
 type lineBudget struct {
 	tokens     float64
 	at         time.Time
@@ -59,12 +73,12 @@
 func (d *decisionLog) allow(kind string, now time.Time) (suppressed int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.kinds[kind]
+	b, rate := d.kinds[kind], lineRate(kind)
 	if b == nil {
-		b = &lineBudget{tokens: lineBurst, at: now}
+		b = &lineBudget{tokens: burstSeconds * rate, at: now}
 		d.kinds[kind] = b
 	}
-	b.tokens = min(lineBurst, b.tokens+linesPerSecond*now.Sub(b.at).Seconds())
+	b.tokens = min(burstSeconds*rate, b.tokens+rate*now.Sub(b.at).Seconds())
 	b.at = now
 	if b.tokens < 1 {
 		b.suppressed++
--- /dev/null
+++ b/sidecar/log_test.go
@@ -0,0 +1,30 @@
+package sidecar
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+)
+
+// Lines of requests that ended well used to take most of what operators keep of a log. The line after a gap says
+// how many were left out.
+func TestLogLeavesRoomForFailures(t *testing.T) {
+	var out strings.Builder
+	log := newDecisionLog(zerolog.New(&out))
+	const offered = 1000
+	for range offered {
+		log.event("request_refused").Send()
+		log.event(eventAnswered).Send()
+	}
+	answered := strings.Count(out.String(), eventAnswered)
+	refused := strings.Count(out.String(), "request_refused")
+	must.Between(t, burstSeconds*answeredPerSecond, answered, burstSeconds*answeredPerSecond+1)
+	must.Between(t, burstSeconds*linesPerSecond, refused, burstSeconds*linesPerSecond+1)
+
+	suppressed, ok := log.allow(eventAnswered, time.Now().Add(time.Second))
+	must.True(t, ok)
+	must.Between(t, offered-answered-1, suppressed, offered-answered)
+}
