Bound the state in an exchange between nodes

Seen: a node that sent its state without end was read and held whole: its answer until the exchange timed out, its request as long as it sent.

Cause: the generated twirp client and server read bodies with io.ReadAll, and nothing bounded the bodies. The head of an answer was bounded by the default of http.Transport, 10 MB.

--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
+	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
 )
 
 // pour returns an upstream that never ends its answers, except to paths that end in "whole".
@@ -80,3 +82,22 @@
 		})
 	}
 }
+
+// The state of a node that never ended was held whole as long as the node sent.
+func TestEndlessGossip(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	for _, kind := range []string{"protobuf", "json"} {
+		t.Run(kind, func(t *testing.T) {
+			conn, err := net.Dial("tcp4", f.nodes[0].settings.ControlAddress)
+			must.NoError(t, err)
+			defer conn.Close()
+			start := time.Now()
+			must.NoError(t, conn.SetDeadline(start.Add(3*time.Second)))
+			var sent atomic.Int64
+			endlesstest.Pour(conn, "POST "+gossipv1.GossipPathPrefix+"Exchange HTTP/1.1\r\nHost: n\r\nContent-Type: application/"+kind+
+				"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\"\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", &sent)
+			must.Less(t, 12<<20, sent.Load())
+			must.Less(t, 2*time.Second, time.Since(start))
+		})
+	}
+}
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -27,6 +27,8 @@
 	gossipIdle = 10 * time.Second
 	// gossipFailures in a row mean that a node is unreachable.
 	gossipFailures = 2
+	// maxGossipBytes bounds the state in each direction of an exchange. It may hold the configuration, 1 MB as stored.
+	maxGossipBytes = 4 << 20
 	// gossipMarks bounds the crash marks in one message.
 	gossipMarks = 256
 )
@@ -52,13 +54,25 @@
 
 func newGossip(n *Node) *gossip {
 	return &gossip{node: n, peers: map[string]*peerState{}, client: &http.Client{
-		Transport: &http.Transport{
+		Transport: boundedAnswers{&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: gossipIdle, DisableCompression: true,
-			ReadBufferSize: gossipBuffer, WriteBufferSize: gossipBuffer,
-		},
+			ReadBufferSize: gossipBuffer, WriteBufferSize: gossipBuffer, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 	}}
 }
 
+// boundedAnswers ends the bodies of answers at maxGossipBytes with an error; twirp reads them whole.
+type boundedAnswers struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := b.next.RoundTrip(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxGossipBytes)
+	}
+	return response, err
+}
+
 // gossipBuffer is the size of a connection's buffers in bytes.
 const gossipBuffer = 2 << 10
 
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -238,7 +238,7 @@
 func (n *Node) controlHandler() http.Handler {
 	e := newEcho()
 	gossipServer := gossipv1.NewGossipServer(n.gossip)
-	e.Any(gossipServer.PathPrefix()+"*", echo.WrapHandler(gossipServer))
+	e.Any(gossipServer.PathPrefix()+"*", echo.WrapHandler(http.MaxBytesHandler(gossipServer, maxGossipBytes)))
 	e.GET("/debug/vars", echo.WrapHandler(n.metrics.handler()))
 	return e
 }
