--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -101,3 +101,19 @@
 		})
 	}
 }
+
+// A success without end that comes through another node is cut at the deadline as well, and frees the slot there.
+func TestEndlessForwardedBody(t *testing.T) {
+	var sent atomic.Int64
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nInstance-Id: i-1\r\nResponse-Signature: signed\r\n"
+	f := startFleet(t, 2, always(pour(head+"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", &sent)))
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(3, true)))
+	for i := range 10 { // more than the slots
+		start := time.Now()
+		got := f.send(f.nodes[0], http.MethodPost, "/once/endless", fmt.Sprint("id-", i), "key-1", 100*time.Millisecond)
+		must.Error(t, got.err, must.Sprint(i, got.status, got.body))
+		must.Less(t, time.Second, time.Since(start))
+	}
+	must.Len(t, 10, f.nodes[1].upstream.ran())
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-whole", "key-1", time.Second).status)
+}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -137,3 +137,31 @@
 		})
 	}
 }
+
+// The probe of an upstream's health ends with the head, and does not wait for one without end.
+func TestDirectEndlessProbe(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, unit string
+		status      int
+	}{
+		"body":         {okHead + "\r\n", "x", http.StatusOK},
+		"chunked body": {chunked, "4\r\nxxxx\r\n", http.StatusOK},
+		"header lines": {okHead, "A: x\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := endlesstest.Start(t, test.first, test.unit)
+			d := newDirect()
+			defer d.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+			defer cancel()
+			start := time.Now()
+			status, _, err := d.Probe(ctx, server.Address, "/health")
+			took := time.Since(start)
+			must.Eq(t, test.status == 0, err != nil, must.Sprint(err))
+			must.Eq(t, test.status, status)
+			closed(t, server)
+			must.Less(t, endlessBytes, server.Sent())
+			must.Less(t, endlessDeadline/2, took)
+		})
+	}
+}
