--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
+	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
 )
 
 // pour returns an upstream that never ends its answers, except to paths that end in "whole".
@@ -80,3 +82,38 @@
 		})
 	}
 }
+
+// The state of a node that never ended was held whole as long as the node sent.
+func TestEndlessGossip(t *testing.T) {
+	f := startFleet(t, 1, always(answer))
+	for _, kind := range []string{"protobuf", "json"} {
+		t.Run(kind, func(t *testing.T) {
+			conn, err := net.Dial("tcp4", f.nodes[0].settings.ControlAddress)
+			must.NoError(t, err)
+			defer conn.Close()
+			start := time.Now()
+			must.NoError(t, conn.SetDeadline(start.Add(3*time.Second)))
+			var sent atomic.Int64
+			endlesstest.Pour(conn, "POST "+gossipv1.GossipPathPrefix+"Exchange HTTP/1.1\r\nHost: n\r\nContent-Type: application/"+kind+
+				"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\"\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n", &sent)
+			must.Less(t, 12<<20, sent.Load())
+			must.Less(t, 2*time.Second, time.Since(start))
+		})
+	}
+}
+
+// A success without end that comes through another node is cut at the deadline as well, and frees the slot there.
+func TestEndlessForwardedBody(t *testing.T) {
+	var sent atomic.Int64
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nInstance-Id: i-1\r\nResponse-Signature: signed\r\n"
+	f := startFleet(t, 2, always(pour(head+"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", &sent)))
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(3, true)))
+	for i := range 10 { // more than the slots
+		start := time.Now()
+		got := f.send(f.nodes[0], http.MethodPost, "/once/endless", fmt.Sprint("id-", i), "key-1", 100*time.Millisecond)
+		must.Error(t, got.err, must.Sprint(i, got.status, got.body))
+		must.Less(t, time.Second, time.Since(start))
+	}
+	must.Len(t, 10, f.nodes[1].upstream.ran())
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-whole", "key-1", time.Second).status)
+}
