Do not take answers to HEAD for truncated ones

Callers saw: a HEAD request was answered 502, may have run, when its upstream announced the length of the body that GET would have had, as most do.

Cause: the announced length was compared with the bytes of a body that an answer to HEAD does not have.

Change: the length of an answer without a body is 0, where its head is read.

Before: TestDirectAnswersWithoutBody failed, "body is truncated: 0 of 100 bytes". After: it and TestHeadRequest pass.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -165,6 +165,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if response.Body == http.NoBody {
+		response.ContentLength = 0 // an answer to HEAD announces the length of a body that it does not have
+	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
 		Body:   io.NopCloser(response.Body), // whose own Close reads to the end
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -274,3 +274,16 @@
 	must.Positive(t, statuses[http.StatusOK])
 	must.Positive(t, statuses[http.StatusServiceUnavailable])
 }
+
+// HEAD requests used to be answered 502, as their answers announce a body that does not come.
+func TestHeadRequest(t *testing.T) {
+	f := startFleet(t, 2, always(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", "100")
+	}))
+	for i := range 8 { // some of them are forwarded
+		got := f.send(f.nodes[0], http.MethodHead, "/read/a", fmt.Sprint("id", i), "key-1", time.Second)
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+	}
+}
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -205,3 +205,30 @@
 	})
 	must.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// Answers without a body may announce the length of one. Such an answer used to be taken for a truncated one.
+func TestDirectAnswersWithoutBody(t *testing.T) {
+	for name, test := range map[string]struct{ method, status string }{
+		"to HEAD":      {http.MethodHead, "200 OK"},
+		"not modified": {http.MethodGet, "304 Not Modified"},
+		"no content":   {http.MethodGet, "204 No Content"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, connections := rawUpstream(t, func(int, int) string {
+				return "HTTP/1.1 " + test.status + "\r\nRequest-Id: r\r\nContent-Length: 100\r\n\r\n"
+			})
+			d := newDirect()
+			defer d.Close()
+			for range 2 {
+				answer, err := d.Run(t.Context(), address, &call.Request{
+					Context: call.Context{RequestID: "r", Deadline: time.Now().Add(500 * time.Millisecond)},
+					Method:  test.method, Target: "/", Host: "h", Header: http.Header{},
+				})
+				must.NoError(t, err)
+				must.True(t, answer.Buffered)
+				must.Eq(t, 0, answer.ContentLength)
+			}
+			must.Eq(t, 1, connections.Load())
+		})
+	}
+}
