Close the gaps that a review of the stop has found

A reviewer who had not seen the work wrote tests that failed on:

No destination is chosen and nothing is written any more for a context that has ended. TestDirectSendsNothingAfterItsEnd failed, "expected non-nil error". - A forwarded call counted as ended when its answer began. A stop then closed the listener that the upstream of that call still needed, "connection refused", and a long answer that it broke off was neither counted nor logged. - An upload whose body had not come to a stopping destination held its stop to the end and got EOF there, "may have run". The wait for the body ends with the stop; 503, not run. - Without workspaces, the calls of running requests look like those of clients and were refused: "503 draining", and the running request failed. While the upstream of the VM runs something, such a request is taken for a call. - A node that was not stopping wrote "request_cut" when another node's stop was the reason, and "answer_broken" when a client had left. - A process that was paused at the end of its stop had no time left to send the answers. They get it now, within the margin before the end of the shutdown timeout. The time to leave the registry shrinks with short timeouts too.

TestStopAnswersWhatItCuts passed without the timed end; it now checks that no listener had to be closed by force.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -267,6 +267,9 @@
 	incoming.ContentLength = r.ContentLength
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(incoming.Deadline.Add(bodyGrace))
+	incoming.AbortBody = func() {
+		_ = controller.SetReadDeadline(time.Now()) // fails only when the connection has gone
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), incoming.Deadline)
 	defer cancel()
 	reserved := func() error { return nil }
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,6 +18,8 @@
 	// Incarnation is the incarnation of this node that the sender addressed.
 	Incarnation uint64
 	Kind        Kind
+	// AbortBody ends a wait for the rest of the body. It is nil where calls come without reservation.
+	AbortBody func()
 }
 
 // bodyGrace lets the deadline of a call end it before its connection is given up.
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -25,29 +25,43 @@
 	acceptsTimeout = 250 * time.Millisecond
 )
 
-// HandleForwarded implements peer.AcceptHandler.
+// HandleForwarded implements peer.AcceptHandler. The call is in progress until its answer has been passed on.
 func (n *Node) HandleForwarded(ctx context.Context, incoming *peer.Incoming, reserved func() error) (*call.Answer, error) {
 	n.accepted.Add(1)
-	defer n.accepted.Add(-1)
 	if n.refusing.Load() {
+		n.accepted.Add(-1)
 		refusal := call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops", n.settings().Node)
 		refusal.Load = &call.Load{Draining: true}
 		return nil, refusal
 	}
 	sender := ctx
 	ctx, cancel := n.untilCut(ctx)
-	answer, err := n.runLocal(ctx, &incoming.Request, reserved)
-	if err != nil {
+	end := sync.OnceFunc(func() {
 		cancel()
+		n.accepted.Add(-1)
+	})
+	answer, err := n.runLocal(ctx, &incoming.Request, func() error {
+		defer context.AfterFunc(n.runCtx, incoming.AbortBody)()
+		return reserved()
+	})
+	if err != nil {
+		end()
 		refusal := call.AsRefusal(err)
-		n.nameCut(sender, refusal)
-		if wasCut(refusal) {
+		if n.endedByStop(sender, refusal) {
 			n.log.event("call_cut").Str("request_id", incoming.RequestID).Str("route", incoming.Route).Str("sender", incoming.Sender).
 				Msg("forwarded call ended by the stop")
 		}
 		return nil, refusal
 	}
-	answer.Body = call.OnClose(answer.Body, cancel)
+	if answer.Buffered {
+		answer.Body = call.OnClose(answer.Body, end)
+		return answer, nil
+	}
+	stream := &streamedBody{ReadCloser: answer.Body}
+	answer.Body = call.OnClose(stream, func() {
+		n.logBroken(sender, &incoming.Context, stream)
+		end()
+	})
 	return answer, nil
 }
 
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -200,7 +200,7 @@
 func (d *dispatcher) choose(ctx context.Context) (balance.Candidate, bool) {
 	req := d.entry.req
 	hold := d.entry.holdTime()
-	for {
+	for ctx.Err() == nil {
 		choice, err := d.node.picker.Pick(req.Service, balance.LatencyQuery{
 			Route: req.Route, Importance: req.Importance, Bytes: max(0, req.ContentLength), Exclude: d.tried,
 		}, time.Now(), random.Shared)
@@ -208,12 +208,13 @@
 			d.tried = append(d.tried, choice.ID)
 			return choice, true
 		}
-		if d.runs > 0 || ctx.Err() != nil || time.Since(d.entry.start) >= hold || d.reroutes >= maxReroutes {
+		if d.runs > 0 || time.Since(d.entry.start) >= hold || d.reroutes >= maxReroutes {
 			return balance.Candidate{}, false
 		}
 		clock.Sleep(ctx, rerouteWait)
 		d.tried = d.tried[:0]
 	}
+	return balance.Candidate{}, false // the request's time is over, its client has left, or the node stops
 }
 
 // attempt sends the request to one destination and tells the picker how it ended.
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -39,6 +39,8 @@
 	start  time.Time
 	// throttled means that the request was refused because of how others ended.
 	throttled bool
+	// cut means that the stop of this node has ended the request.
+	cut bool
 }
 
 // ServeHTTP takes the requests of clients and of the upstream on this VM.
@@ -50,7 +52,7 @@
 	ctx, cancel := n.untilCut(r.Context())
 	defer cancel()
 	answer, refusal := n.serve(ctx, w, r, e)
-	n.nameCut(r.Context(), refusal)
+	e.cut = n.endedByStop(r.Context(), refusal)
 	took := time.Since(start)
 	n.observeRequest(e, answer, refusal)
 	n.metrics.request(refusal, took)
@@ -65,7 +67,7 @@
 	if !answer.Buffered {
 		stream := &streamedBody{ReadCloser: answer.Body}
 		answer.Body = stream
-		defer func() { n.logBroken(e, stream) }()
+		defer func() { n.logBroken(r.Context(), &e.req.Context, stream) }()
 	}
 	httpanswer.Write(w, r.Method, answer)
 }
@@ -87,17 +89,17 @@
 	return n, err
 }
 
-// logBroken writes a line for an answer whose client has got a part of it.
-func (n *Node) logBroken(e *entry, stream *streamedBody) {
-	if stream.err == nil {
+// logBroken writes a line for an answer of which the receiver has got a part, unless the receiver has left.
+func (n *Node) logBroken(receiver context.Context, c *call.Context, stream *streamedBody) {
+	if stream.err == nil || receiver.Err() != nil {
 		return
 	}
-	if n.running.Err() != nil {
+	if n.runCtx.Err() != nil {
 		n.cut.Add(1)
 	}
 	n.metrics.outcomes.Add("answer_broken", 1)
-	n.log.event("answer_broken").Str("request_id", e.fields.ID).Str("route", e.route.Name).Int64("bytes", stream.bytes).
-		Bool("stopping", n.stopping.Load()).Err(stream.err).Msg("answer broke off; the client's connection is closed")
+	n.log.event("answer_broken").Str("request_id", c.RequestID).Str("route", c.Route).Int64("bytes", stream.bytes).
+		Bool("stopping", n.stopping.Load()).Err(stream.err).Msg("answer broke off; the receiver's connection is closed")
 }
 
 func (n *Node) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entry) (*call.Answer, *call.Refusal) {
@@ -139,11 +141,11 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	cut := context.AfterFunc(n.running, func() {
+	stopCut := context.AfterFunc(n.runCtx, func() {
 		_ = controller.SetReadDeadline(time.Now()) // fails only when the connection has gone
 	})
 	body, err := call.NewReplayBody(&call.Request{Body: r.Body, ContentLength: r.ContentLength})
-	cut()
+	stopCut()
 	if err == nil && body.Held() {
 		err = controller.SetReadDeadline(time.Time{})
 	}
@@ -242,7 +244,7 @@
 
 // bodyRefusal turns a failed read of a client's body into a refusal.
 func (n *Node) bodyRefusal(err error) *call.Refusal {
-	if n.running.Err() != nil {
+	if n.runCtx.Err() != nil {
 		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stopped before the body arrived", n.settings().Node)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -288,7 +290,7 @@
 func (n *Node) logRequest(r *http.Request, e *entry, answer *call.Answer, refusal *call.Refusal, took time.Duration) {
 	kind := eventAnswered
 	switch {
-	case wasCut(refusal):
+	case e.cut:
 		kind = "request_cut"
 	case refusal != nil:
 		kind = "request_refused"
@@ -316,5 +318,5 @@
 
 // detached returns a context that outlives the client, but neither the deadline nor the node.
 func (n *Node) detached(deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(n.running, deadline)
+	return context.WithDeadline(n.runCtx, deadline)
 }
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -68,11 +68,14 @@
 }
 
 // configuration is the operators' document of the tests: one service with an idempotent, a once-only and
-// an open route, and one workspace.
+// an open route, each with a longer one below it, and one workspace.
 const configuration = `{"version":"r%d","routes":[
  {"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":2,"service":"s","maxAttempts":2},
  {"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":0,"service":"s","maxAttempts":2},
- {"name":"open","host":"h.example","prefix":"/open/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"s","maxAttempts":2,"authExempt":true}],
+ {"name":"open","host":"h.example","prefix":"/open/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"s","maxAttempts":2,"authExempt":true},
+ {"name":"read-long","host":"h.example","prefix":"/read/long/","kind":"idempotent","timeoutS":20,"targetLatencyS":0.5,"priority":2,"service":"s","maxAttempts":2},
+ {"name":"once-long","host":"h.example","prefix":"/once/long/","kind":"non_idempotent","timeoutS":20,"targetLatencyS":0.5,"priority":0,"service":"s","maxAttempts":2},
+ {"name":"open-long","host":"h.example","prefix":"/open/long/","kind":"idempotent","timeoutS":20,"targetLatencyS":0.5,"priority":1,"service":"s","maxAttempts":2,"authExempt":true}],
  "services":[{"name":"s","healthPath":"/health","maxConnections":100}],
  "tenants":[{"name":"w","apiKeys":[%s],"priority":1,"ratePerS":%d,"burst":%d}]}`
 
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -75,6 +75,12 @@
 	return u, ""
 }
 
+// busy tells whether the upstream runs calls.
+func (l *local) busy() bool {
+	u := l.current.Load()
+	return u != nil && !u.gate.Idle()
+}
+
 // Heartbeat implements HeartbeatHandler.
 func (n *Node) Heartbeat(beat Heartbeat) error {
 	changed, err := n.local.heartbeat(beat, time.Now())
@@ -230,8 +236,7 @@
 // sweepQueue keeps the queue free of overdue calls until ctx ends.
 func (l *local) sweepQueue(ctx context.Context) {
 	for ctx.Err() == nil {
-		u := l.current.Load()
-		if u != nil && !u.gate.Idle() {
+		if u := l.current.Load(); u != nil && !u.gate.Idle() {
 			u.gate.Sweep()
 		}
 		clock.Sleep(ctx, sweepEvery)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -78,14 +78,16 @@
 	headers     Headers
 	log         *decisionLog
 	incarnation uint64
-	stopping    atomic.Bool
-	refusing    atomic.Bool // of forwarded calls, late in a stop
-	closing     atomic.Bool // at the end of a stop, when all requests are refused
-	// running ends when a stop ends the requests that still run, and cut is their number.
-	running    context.Context
+
+	// The steps of a stop, in their order; see Stop.
+	stopping  atomic.Bool
+	stopTimes atomic.Pointer[stopTimes]
+	refusing  atomic.Bool // of forwarded calls
+	// runCtx ends when the requests that still run are ended, and cut counts those that may have run.
+	runCtx     context.Context
 	cutRunning context.CancelFunc
 	cut        atomic.Int64
-	stopTimes  atomic.Pointer[stopTimes]
+	closing    atomic.Bool // all requests are refused
 
 	configuration *configuration
 	registry      *registry
@@ -140,7 +142,7 @@
 		return id == requestID || id == "" // some refusals of an upstream name no request
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.running, n.cutRunning = context.WithCancel(context.Background())
+	n.runCtx, n.cutRunning = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
 	n.registry = newRegistry(n)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -22,8 +22,6 @@
 	// lateCallMargin before the end of a stop no call of a running request is begun, nor one that could take
 	// longer. The usual calls take a few tens of milliseconds; their deadline is that of the request.
 	lateCallMargin = 500 * time.Millisecond
-	// leaveTimeout bounds the call that removes the own entry.
-	leaveTimeout = 250 * time.Millisecond
 )
 
 // ErrRequestsCut means that requests were still running when a stop had no time left.
@@ -56,12 +54,18 @@
 		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s has stopped", n.settings().Node)
 	}
 	left := stop.cutAt.Sub(now)
-	if e.route.Open && left >= n.longCall(e) || !e.req.Deadline.After(stop.cutAt) {
+	if !e.req.Deadline.After(stop.cutAt) || n.mayBeCall(e) && left >= n.longCall(e) {
 		return nil
 	}
 	return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stops in %v", n.settings().Node, left.Round(time.Millisecond))
 }
 
+// mayBeCall tells whether a request may be a call of one that runs on the upstream of this VM. Without workspaces
+// clients send no keys either.
+func (n *Node) mayBeCall(e *entry) bool {
+	return e.route.Open || n.configuration.document().Keyless && n.local.busy()
+}
+
 // longCall is the time that a call rarely exceeds.
 func (n *Node) longCall(e *entry) time.Duration {
 	return max(lateCallMargin, hedgeFactor*n.picker.Expected(e.req.Service, e.req.Route))
@@ -70,28 +74,25 @@
 // untilCut returns a context that ends with ctx, and at the end of a stop.
 func (n *Node) untilCut(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(n.running, cancel)
+	stop := context.AfterFunc(n.runCtx, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
 	}
 }
 
-// nameCut makes the refusal of a request that a stop has ended name the stop. Others stay as they are.
-// sender is the context of who sent the request.
-func (n *Node) nameCut(sender context.Context, refusal *call.Refusal) {
-	if refusal == nil || refusal.Code != call.CodeCanceled || n.running.Err() == nil || sender.Err() != nil {
-		return
+// endedByStop tells whether this node's stop has ended a request that may have run. It makes the refusal of
+// whatever a stop has ended name the stop. sender is the context of who sent the request.
+func (n *Node) endedByStop(sender context.Context, refusal *call.Refusal) bool {
+	if refusal == nil || n.runCtx.Err() == nil || sender.Err() != nil {
+		return false
 	}
 	refusal.Code, refusal.Message = call.CodeDraining, fmt.Sprintf("node %s stopped before the answer", n.settings().Node)
-	if refusal.Outcome == call.MayHaveRun {
-		n.cut.Add(1)
+	if refusal.Outcome == call.NotRun {
+		return false
 	}
-}
-
-// wasCut tells whether a stop has ended a request that may have run.
-func wasCut(refusal *call.Refusal) bool {
-	return refusal != nil && refusal.Code == call.CodeDraining && refusal.Outcome == call.MayHaveRun
+	n.cut.Add(1)
+	return true
 }
 
 // Stop is a graceful shutdown. The node says at once that it is not ready and that it stops, so that clients
@@ -112,8 +113,9 @@
 	n.refusing.Store(true)
 	n.awaitIdle(times.deadline)
 	n.closing.Store(true)
-	errs := n.closeServers(times.deadline)
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	// A process that was paused comes here late.
+	errs := n.closeServers(later(times.deadline, time.Now().Add(n.settings().answerMargin())))
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), n.settings().leaveTimeout())
 	defer cancelLeave()
 	if err := n.registry.leave(leaveCtx); err != nil {
 		n.log.event("registration_failed").Err(err).Msg("own entry not removed; its lease ends")
@@ -143,6 +145,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // closeServers closes the listeners and waits for the last answers to be sent.
 func (n *Node) closeServers(deadline time.Time) []error {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/kvstore"
+	"github.com/cowslipglade/cowslipglade/sidecar"
 )
 
 // stopWithin gives the nodes a shutdown timeout.
@@ -78,11 +83,11 @@
 // Guards against requests that end without an answer when a stop has no time left: the caller is told that the
 // request may have run, and a log line names it.
 func TestStopAnswersWhatItCuts(t *testing.T) {
-	for _, path := range []string{"/read/a", "/once/a", "/open/a"} {
+	for _, path := range []string{"/read/long/a", "/once/long/a", "/open/long/a"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t, 1, always(slow(time.Minute)))
-			f.stopWithin(1500 * time.Millisecond)
+			f.stopWithin(4800 * time.Millisecond)
 			got := make(chan result, 1)
 			go func() { got <- f.send(f.nodes[0], http.MethodGet, path, "cut-1", "key-1", 10*time.Second) }()
 			f.eventually(func() error {
@@ -91,7 +96,9 @@
 				}
 				return nil
 			})
-			must.Error(t, f.nodes[0].end())
+			err := f.nodes[0].end()
+			must.ErrorIs(t, err, sidecar.ErrRequestsCut)
+			must.StrNotContains(t, err.Error(), "deadline exceeded", must.Sprint("answered only after the end"))
 			end := <-got
 			must.NoError(t, end.err)
 			must.Eq(t, http.StatusBadGateway, end.status)
@@ -177,3 +184,169 @@
 	must.Eq(t, 0, f.totalRuns())
 	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "half-1", `"code":"draining"`))
 }
+
+// Guards against a stop that takes a forwarded call for ended while its answer is still coming.
+func TestStopServesCallsOfForwardedStreams(t *testing.T) {
+	f := startFleet(t, 2, always(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/open/") {
+			answer(w, r)
+			return
+		}
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(1600 * time.Millisecond):
+			_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		case <-r.Context().Done():
+		}
+	}))
+	f.stopWithin(3 * time.Second)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	time.Sleep(300 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].end() }()
+	time.Sleep(300 * time.Millisecond)
+	got := make(chan result, 1)
+	go func() { got <- f.send(f.nodes[1], http.MethodPost, "/once/a", "stream-1", "key-1", 2*time.Second) }()
+	time.Sleep(1350 * time.Millisecond) // the request still runs on the upstream of n0, which asks its own node
+	r := f.send(f.nodes[0], http.MethodGet, "/open/b", "call-1", "", 500*time.Millisecond)
+	end := <-got
+	t.Log("stop:", <-stopped, "stream:", end.status, end.err, len(end.body))
+	must.NoError(t, end.err)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusOK, r.status)
+}
+
+// A long answer to another node that a stop breaks off is counted and logged here as well.
+func TestStopCountsForwardedStreamsThatItCuts(t *testing.T) {
+	f := startFleet(t, 2, always(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	f.stopWithin(1500 * time.Millisecond)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	time.Sleep(300 * time.Millisecond)
+	got := make(chan result, 1)
+	go func() { got <- f.send(f.nodes[1], http.MethodPost, "/once/a", "cut-1", "key-1", 10*time.Second) }()
+	f.eventually(func() error {
+		if f.totalRuns() == 0 {
+			return errors.New("not running yet")
+		}
+		return nil
+	})
+	time.Sleep(100 * time.Millisecond)
+	err := f.nodes[0].end()
+	r := <-got
+	t.Log(err, r.err, len(r.body))
+	must.SliceNotEmpty(t, f.logs.find(`"node":"n0"`, `"event":"stop"`, `"cut":1`))
+}
+
+// At the node where a request entered, the stop of another one is the reason of a refusal.
+func TestOnlyTheStoppingNodeLogsACut(t *testing.T) {
+	f := startFleet(t, 2, always(slow(time.Minute)))
+	f.stopWithin(1500 * time.Millisecond)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	got := make(chan result, 1)
+	f.eventually(func() error {
+		if f.totalRuns() > 0 {
+			return nil
+		}
+		go func() { got <- f.send(f.nodes[1], http.MethodPost, "/once/a", "cut-1", "key-1", 10*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+		return errors.New("not running yet")
+	})
+	must.Error(t, f.nodes[0].end())
+	must.Eq(t, http.StatusBadGateway, (<-got).status)
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, `"node":"n1"`, "cut-1")) // docs/OPERATIONS.md
+}
+
+// A client that leaves in the middle of an answer has broken it off itself.
+func TestClientThatLeavesIsNoBrokenAnswer(t *testing.T) {
+	f := startFleet(t, 1, always(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	conn, err := net.Dial("tcp", f.nodes[0].settings.RequestAddress)
+	must.NoError(t, err)
+	_, err = fmt.Fprint(conn, "GET /read/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: left-1\r\nTimeout-Ms: 2000\r\nKey: key-1\r\n\r\n")
+	must.NoError(t, err)
+	_, err = conn.Read(make([]byte, 4<<10))
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.Close()
+	time.Sleep(500 * time.Millisecond)
+	lines := f.logs.find(`"event":"answer_broken"`, "left-1")
+	must.SliceEmpty(t, lines)
+}
+
+// Guards against running requests that fail in a stop because, without workspaces, their calls look like those of
+// clients.
+func TestStopServesCallsWithoutWorkspaces(t *testing.T) {
+	var own atomic.Pointer[fleetNode]
+	var f *fleet
+	f = startFleet(t, 1, always(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/once/parent" {
+			time.Sleep(500 * time.Millisecond)
+			if got := f.send(own.Load(), http.MethodPost, "/once/call", "call", "", 1800*time.Millisecond); got.status != http.StatusOK {
+				t.Log("call:", got.status, strings.TrimSpace(got.body), got.err)
+				w.Header().Set("Response-Signature", "signed")
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+		}
+		answer(w, r)
+	}))
+	own.Store(f.nodes[0])
+	entry, err := f.store.Get(t.Context(), "op/config")
+	must.NoError(t, err)
+	document := fmt.Sprintf(configuration, 2, `"key-1"`, 1, 1)
+	document = document[:strings.Index(document, `"tenants"`)] + `"tenants":[]}`
+	_, err = f.store.CompareAndSwap(t.Context(), "op/config", entry.Revision, []byte(document), kvstore.NoLease)
+	must.NoError(t, err)
+	f.eventually(func() error {
+		if got := f.send(f.nodes[0], http.MethodGet, "/read/a", "id", "", time.Second); got.status != http.StatusOK {
+			return errors.New(got.body)
+		}
+		return nil
+	})
+	f.stopWithin(3 * time.Second)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].end() }()
+	time.Sleep(1200 * time.Millisecond) // within the time in which all requests are taken
+	got := f.send(f.nodes[0], http.MethodPost, "/once/parent", "parent", "", 2*time.Second)
+	must.NoError(t, <-stopped)
+	must.Eq(t, http.StatusOK, got.status)
+}
+
+// Guards against a destination that waits for the rest of an upload until its end, and loses the call.
+func TestStopAnswersForwardedIncompleteUpload(t *testing.T) {
+	f := startFleet(t, 2, always(answer))
+	f.stopWithin(1500 * time.Millisecond)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	time.Sleep(300 * time.Millisecond)
+	conn, err := net.Dial("tcp", f.nodes[1].settings.RequestAddress)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: half-1\r\nTimeout-Ms: 10000\r\nKey: key-1\r\nContent-Length: %d\r\n\r\nhalf", 4*call.BufferLimit)
+	must.NoError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	start := time.Now()
+	stopErr := f.nodes[0].end()
+	took := time.Since(start)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	var buf bytes.Buffer
+	_, _ = buf.ReadFrom(response.Body)
+	t.Log(took, stopErr, response.StatusCode, buf.String(), f.totalRuns())
+	must.Eq(t, 0, f.totalRuns())
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode) // nothing has run
+}
--- a/sidecar/timing.go
+++ b/sidecar/timing.go
@@ -67,6 +67,9 @@
 	return min(exitMargin, s.ShutdownTimeout/exitShare)
 }
 
+// leaveTimeout bounds the call that removes the own entry; the rest of the margin is for the end of the process.
+func (s *Settings) leaveTimeout() time.Duration { return s.exitMargin() / 2 }
+
 // answerMargin is how long before that running requests are ended.
 func (s *Settings) answerMargin() time.Duration {
 	return min(answerMargin, s.ShutdownTimeout/answerShare)
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
+	if ctx.Err() != nil {
+		conn.Close()
+		return nil, fmt.Errorf("%w: %w", ErrNotConnected, ctx.Err())
+	}
 	conn.SetDeadline(req.Deadline.Add(deadlineGrace))
 	stop := context.AfterFunc(ctx, conn.Close)
 	answer, err := d.exchange(conn, req)
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -232,3 +232,28 @@
 		})
 	}
 }
+
+// A call whose time is over, or whose sender has given up, used to be sent on an idle connection all the same.
+func TestDirectSendsNothingAfterItsEnd(t *testing.T) {
+	var begun atomic.Int64
+	address, _ := rawUpstream(t, func(int, int) string {
+		begun.Add(1)
+		return reply("r", "x")
+	})
+	d := newDirect()
+	defer d.Close()
+	_, err := runDirect(t, d, address, "r", "", true)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		_, err = d.Run(ctx, address, &call.Request{
+			Context: call.Context{RequestID: "r", Deadline: time.Now().Add(time.Second)},
+			Method:  http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+		})
+		must.ErrorIs(t, err, ErrNotConnected)
+		_, err = runDirect(t, d, address, "r", "", true) // leaves an idle connection again
+		must.NoError(t, err)
+	}
+	must.Eq(t, 101, begun.Load())
+}
