Keep a stop signal that comes while a reload waits

Callers saw: a daemon that was told to stop during reloads went on taking requests, never said that it stops, and was killed with its running requests at the end of the grace period.

Cause: SIGTERM, SIGINT and SIGHUP shared a channel that holds one signal, and os/signal drops what a full channel cannot take. While one reload ran and another waited, SIGTERM was lost.

Evidence: TestStopDuringReload of both commands holds a reload, sends SIGHUP and SIGTERM, and lets it go on.

Fix: package signals gives a stop a channel of its own, where only another stop can be before it. It goes before waiting reloads, reloads that wait become one, and the signals are taken before the node starts. A second SIGTERM has no effect, as both signals stay with the process until its end.

--- a/cmd/cowslip-sidecar/main.go
+++ b/cmd/cowslip-sidecar/main.go
@@ -5,15 +5,14 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/cowslipglade/cowslipglade/internal/signals"
 	"github.com/cowslipglade/cowslipglade/platform"
 	"github.com/cowslipglade/cowslipglade/sidecar"
 )
@@ -86,6 +85,7 @@
 
 // serve runs the node until SIGTERM or SIGINT. SIGHUP rereads the settings.
 func serve(path string, settings *sidecar.Settings, log zerolog.Logger) error {
+	received := signals.Notify()
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
@@ -101,8 +101,6 @@
 		MountHeartbeats: func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
 		MountReady:      platform.MountReady,
 	}, log, uint64(time.Now().UnixNano()))
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := n.Start(); err != nil {
 		return err
 	}
@@ -111,11 +109,6 @@
 	watcher := settingsWatcher{path: path, node: n, log: log}
 	watcher.remember()
 	go watcher.run(ctx)
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
-		}
-		watcher.reload()
-	}
+	received.WaitForStop(watcher.reload)
 	return n.Stop()
 }
--- /dev/null
+++ b/cmd/cowslip-sidecar/main_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/internal/freeport"
+	"github.com/cowslipglade/cowslipglade/internal/signals/signalstest"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"cowslip-sidecar": main})
+}
+
+const settingsFile = `[self]
+nodeName = "n1"
+ip = "%[1]s"
+zone = "d1"
+region = "r"
+appAddr = "%[3]s"
+service = "stock"
+[self.limits]
+memoryMb = 284
+maxFds = 4100
+[network]
+internalPorts = [%[2]s, %[2]s]
+[network.listenAddrs]
+inbound = "%[4]s"
+outbound = "%[5]s"
+ready = "%[6]s"
+control = "%[7]s"
+[platform]
+heartbeatS = 0.5
+[platform.platform]
+address = "%[8]s"
+writesPerS = 400
+readsPerS = 2000
+ttlMinS = 1
+[terms.bounds]
+drainS = 1
+graceS = %[9]g
+configApplyS = 2
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 47
+quotaWindowS = 10
+quotaOver = 0.1
+quotaSlack = 10
+`
+
+// A SIGTERM that came while a reload was waiting used to be dropped.
+func TestStopDuringReload(t *testing.T) {
+	const shutdownTimeout = 6 * time.Second
+	var addresses [7]string
+	for i := range addresses {
+		free, err := freeport.Address()
+		must.NoError(t, err)
+		addresses[i] = free
+	}
+	ip, port, err := net.SplitHostPort(addresses[0])
+	must.NoError(t, err)
+	args := []any{ip, port}
+	for _, address := range addresses[1:] {
+		args = append(args, address)
+	}
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	text := fmt.Sprintf(settingsFile, append(args, shutdownTimeout.Seconds())...)
+	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	// A race build ends a second late otherwise.
+	cmd := exec.Command("cowslip-sidecar", "--settings", path)
+	cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
+	signalstest.StopDuringReload(t, cmd, path, addresses[3], shutdownTimeout)
+}
--- a/cmd/cowslipd/main.go
+++ b/cmd/cowslipd/main.go
@@ -7,14 +7,13 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/cowslipglade/cowslipglade/internal/settings"
+	"github.com/cowslipglade/cowslipglade/internal/signals"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/node"
 )
@@ -76,6 +75,7 @@
 
 // serve runs the node until SIGTERM or SIGINT. SIGHUP rereads the secrets.
 func serve(opts *options, s *settings.Node, log zerolog.Logger) error {
+	received := signals.Notify()
 	etcd := kvstore.DefaultEtcdConfig()
 	etcd.Endpoints = s.PlatformEndpoints
 	etcd.LocalAddress = s.PeerIP()
@@ -84,23 +84,18 @@
 		return err
 	}
 	n := node.New(s, store, log, uint64(time.Now().UnixNano()))
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := n.Start(); err != nil {
 		return err
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
-		}
+	received.WaitForStop(func() {
 		reloaded, err := load(opts)
 		if err != nil {
 			log.Error().Err(err).Msg("settings not reloaded")
-			continue
+			return
 		}
 		n.ReplaceSecrets(reloaded.Secrets)
 		log.Info().Msg("secrets reloaded")
-	}
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), s.ShutdownTimeout())
 	defer cancel()
 	if err := n.Stop(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/cowslipd/main_test.go
+++ b/cmd/cowslipd/main_test.go
@@ -1,14 +1,19 @@
 package main
 
 import (
+	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
 
 	"github.com/cowslipglade/cowslipglade/internal/freeport"
+	"github.com/cowslipglade/cowslipglade/internal/signals/signalstest"
 )
 
 func TestMain(m *testing.M) {
@@ -51,3 +56,33 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"await": await, "expand": expand},
 	})
 }
+
+const settingsFile = `
+name = "vm-1"
+failure_domain = "fd-1"
+failure_domains = ["fd-1"]
+region = "test"
+caller_address = "%s"
+local_address = "%s"
+peer_address = "%s"
+platform_endpoints = ["http://127.0.0.1:1"]
+secrets = ["a-secret-of-the-test"]
+operator_token = "a-token-of-the-operators"
+shutdown_timeout_ms = %d
+`
+
+// A SIGTERM that came while a reload was waiting used to be dropped.
+func TestStopDuringReload(t *testing.T) {
+	const shutdownTimeout = 10 * time.Second
+	var addresses [3]any
+	for i := range addresses {
+		free, err := freeport.Address()
+		must.NoError(t, err)
+		addresses[i] = free
+	}
+	path := filepath.Join(t.TempDir(), "node.toml")
+	text := fmt.Sprintf(settingsFile, append(addresses[:], shutdownTimeout.Milliseconds())...)
+	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	cmd := exec.Command("cowslipd", "--config", path)
+	signalstest.StopDuringReload(t, cmd, path, addresses[0].(string), shutdownTimeout)
+}
--- /dev/null
+++ b/internal/signals/signalstest/reload.go
@@ -0,0 +1,83 @@
+// Package signalstest checks how commands take signals.
+package signalstest
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// startTimeout is far above the time in which a command listens or begins a reload.
+	startTimeout = 20 * time.Second
+	// deliveryTime is far above the time in which the kernel delivers a signal.
+	deliveryTime = 100 * time.Millisecond
+	pollInterval = 5 * time.Millisecond
+)
+
+// StopDuringReload starts a command that reads the settings file and listens on the address. It holds the
+// command in a reload while another reload waits, sends SIGTERM twice, and fails unless the command then ends
+// with exit code 0 within the timeout.
+func StopDuringReload(t *testing.T, cmd *exec.Cmd, settings, address string, timeout time.Duration) {
+	t.Helper()
+	must.NoError(t, cmd.Start())
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	awaitListener(t, address)
+
+	// The reload waits for the text of a FIFO.
+	text, err := os.ReadFile(settings)
+	must.NoError(t, err)
+	fifo := filepath.Join(t.TempDir(), "fifo")
+	must.NoError(t, syscall.Mkfifo(fifo, 0o600))
+	must.NoError(t, os.Rename(fifo, settings))
+	must.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	writer := awaitReader(t, settings)
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
+		must.NoError(t, cmd.Process.Signal(signal))
+		time.Sleep(deliveryTime)
+	}
+	_, err = writer.Write(text)
+	must.NoError(t, err)
+	must.NoError(t, writer.Close())
+	time.Sleep(deliveryTime)
+	_ = cmd.Process.Signal(syscall.SIGTERM) // during the stop, or after it
+	select {
+	case err := <-exited:
+		must.NoError(t, err)
+	case <-time.After(timeout):
+		t.Fatalf("still running %v after SIGTERM", timeout)
+	}
+}
+
+func awaitListener(t *testing.T, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		connection, err := net.Dial("tcp", address)
+		if err == nil {
+			must.NoError(t, connection.Close())
+			return
+		}
+	}
+	t.Fatalf("nothing listens on %s", address)
+}
+
+// awaitReader opens a FIFO for writing once it has a reader.
+func awaitReader(t *testing.T, fifo string) *os.File {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		writer, err := os.OpenFile(fifo, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err == nil {
+			return writer
+		}
+	}
+	t.Fatalf("nothing reads %s", fifo)
+	return nil
+}
