Stop cowslipd without waiting for connections that bring no request

Operators saw: stops that last up to 5 s longer for each listener with such a connection, though nothing ran.

Cause: http.Server.Shutdown waits until a connection on which no request came is 5 s old.

Fix: package httpserver keeps the connections without a request and closes them during a shutdown, 250 ms after they were opened, so that a request that was just sent is still answered. When the time of a shutdown ends it closes what is left and says so.

--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/caller"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
@@ -76,9 +77,8 @@
 
 // server is one listener with its HTTP server.
 type server struct {
-	name     string
+	*httpserver.Server
 	address  string
-	http     *http.Server
 	listener net.Listener
 }
 
@@ -116,15 +116,15 @@
 // Start opens the listeners and starts the background tasks.
 func (n *Node) Start() error {
 	n.servers = []*server{
-		{name: "peer", address: n.settings.PeerAddress, http: &http.Server{Handler: n.peerMux(), ReadHeaderTimeout: peerHeaderTimeout}},
-		{name: "local", address: n.settings.LocalAddress, http: upstream.NewServer(n)},
-		{name: "caller", address: n.settings.CallerAddress, http: caller.New(n, n.settings.MaxBodyBytes)},
+		{address: n.settings.PeerAddress, Server: httpserver.New("peer", &http.Server{Handler: n.peerMux(), ReadHeaderTimeout: peerHeaderTimeout})},
+		{address: n.settings.LocalAddress, Server: httpserver.New("local", upstream.NewServer(n))},
+		{address: n.settings.CallerAddress, Server: httpserver.New("caller", caller.New(n, n.settings.MaxBodyBytes))},
 	}
 	for _, s := range n.servers {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			n.closeListeners()
-			return fmt.Errorf("%w: %s listener: %w", ErrListen, s.name, err)
+			return fmt.Errorf("%w: %s listener: %w", ErrListen, s.Name, err)
 		}
 		s.listener = listener
 	}
@@ -166,10 +166,10 @@
 
 func (n *Node) serve(s *server) {
 	// net/http would write plain lines about broken connections to the log of JSON lines.
-	s.http.ErrorLog = stdlog.New(n.log.With().Str("listener", s.name).Logger(), "", 0)
+	s.ErrorLog = stdlog.New(n.log.With().Str("listener", s.Name).Logger(), "", 0)
 	n.tasks.Go(func() {
-		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error().Err(err).Str("listener", s.name).Msg("listener failed")
+		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Str("listener", s.Name).Msg("listener failed")
 		}
 	})
 }
@@ -196,10 +196,10 @@
 	var errs []error
 	for _, name := range []string{"caller", "peer", "local"} {
 		for _, s := range n.servers {
-			if s.name != name {
+			if s.Name != name {
 				continue
 			}
-			if err := s.http.Shutdown(ctx); err != nil {
+			if err := s.Shutdown(ctx); err != nil {
 				errs = append(errs, fmt.Errorf("node: stop %s listener: %w", name, err))
 			}
 		}
