Answer the requests that a stop of cowslipd has to end

Callers saw: a connection closed without an answer when a request, an upload or a call for another node still ran at the end of the shutdown timeout.

Cause: Stop waited for its three listeners one after the other with one context. When that ended it returned, left what ran to the end of the process, and had no time left for the other listeners and for leaving.

Evidence: TestStopAnswersRunningRequests and TestStopAnswersUploads.

Fix: requests are counted and have a context of the node. 0.5 s before the end of the timeout it is canceled and bodies are no longer read, so that each request gets a refusal `draining` with what is known of its run. The record of a request id is finished in the same way as before, so it still runs at most once. The listeners for callers and peers close together; the local one stays until running requests need it no more. One log line gives the number of requests.

--- a/node/destination.go
+++ b/node/destination.go
@@ -17,6 +17,11 @@
 
 // HandlePeer implements peer.Handler.
 func (n *Node) HandlePeer(ctx context.Context, incoming *peer.Incoming) (*call.Answer, error) {
+	answer, err := n.handlePeer(ctx, incoming)
+	return answer, n.endedByStop(err)
+}
+
+func (n *Node) handlePeer(ctx context.Context, incoming *peer.Incoming) (*call.Answer, error) {
 	if incoming.Incarnation != n.identity.Load().incarnation {
 		// An earlier process with this name may have run another copy of the call.
 		return nil, call.NewRefusal(call.CodeWrongIncarnation, call.MayHaveRun, "node %s has been restarted", n.settings.Name)
--- a/node/downstream.go
+++ b/node/downstream.go
@@ -13,6 +13,11 @@
 // Workspace, importance, deadline and retry budget come from the running call, so the upstream cannot
 // change them.
 func (n *Node) HandleDownstream(ctx context.Context, req *upstream.DownstreamCall) (*call.Answer, error) {
+	answer, err := n.handleDownstream(ctx, req)
+	return answer, n.endedByStop(err)
+}
+
+func (n *Node) handleDownstream(ctx context.Context, req *upstream.DownstreamCall) (*call.Answer, error) {
 	parent, ok := n.running.get(req.Token)
 	if !ok {
 		return nil, call.NewRefusal(call.CodeUnauthenticated, call.NotRun, "%s does not name a running call", call.HeaderCall)
--- a/node/entry.go
+++ b/node/entry.go
@@ -27,6 +27,7 @@
 func (n *Node) HandleCaller(ctx context.Context, req *caller.Request) (*call.Answer, string, error) {
 	start := n.now()
 	answer, requestID, err := n.admit(ctx, req, start)
+	err = n.endedByStop(err)
 	n.metrics.root(err)
 	n.logRequest(req, requestID, err, n.now().Sub(start))
 	return answer, requestID, err
@@ -74,7 +75,7 @@
 // limitBody bounds the wait for a request body that stops without an end. Without it http.Transport would
 // wait for the body for ever, and the call would keep its slot.
 func (n *Node) limitBody(set func(time.Time) error, deadline time.Time) {
-	if set == nil {
+	if set == nil || n.work.ctx.Err() != nil {
 		return
 	}
 	if err := set(deadline.Add(bodyGrace)); err != nil {
--- a/node/identity.go
+++ b/node/identity.go
@@ -108,7 +108,7 @@
 }
 
 // runHome decides about a presentation of an id that this incarnation issued. The request runs to its
-// end even when the caller goes away, so that a repeat gets the answer.
+// end even when the caller goes away, so that a repeat gets the answer, but not longer than the node.
 func (n *Node) runHome(ctx context.Context, id requestid.ID, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
 	digest := requestDigest(req, body)
 	for {
@@ -125,7 +125,7 @@
 				return nil, call.NewRefusal(call.CodeDeadline, call.MayHaveRun, "the request is still running")
 			}
 		default:
-			ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+			ctx, cancel := context.WithDeadline(n.work.ctx, req.Deadline)
 			answer, err := n.runAttempt(ctx, decision.Attempt, req, body, rules)
 			if err != nil {
 				cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	metrics       *metrics
 
 	servers []*server
+	work    *work
 	tasks   sync.WaitGroup
 	// background ends when the node has stopped.
 	background context.Context
@@ -90,6 +92,7 @@
 		settings:     s,
 		log:          log,
 		keyring:      keyring,
+		work:         newWork(),
 		store:        store,
 		incarnation:  incarnation,
 		peers:        peer.NewClient(s.Name, s.PeerIP(), keyring),
@@ -121,6 +124,10 @@
 		{address: n.settings.CallerAddress, Server: httpserver.New("caller", caller.New(n, n.settings.MaxBodyBytes))},
 	}
 	for _, s := range n.servers {
+		s.BaseContext = func(net.Listener) context.Context { return n.work.ctx }
+		if s.Name != "peer" { // where control between nodes is not work
+			s.Handler = n.work.track(s.Handler)
+		}
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			n.closeListeners()
@@ -142,6 +149,16 @@
 	return nil
 }
 
+func (n *Node) httpServers(names ...string) []*httpserver.Server {
+	var servers []*httpserver.Server
+	for _, s := range n.servers {
+		if slices.Contains(names, s.Name) {
+			servers = append(servers, s.Server)
+		}
+	}
+	return servers
+}
+
 func (n *Node) closeListeners() {
 	for _, s := range n.servers {
 		if s.listener != nil {
@@ -177,7 +194,7 @@
 // peerMux serves forwarded calls, control between nodes, operators and metrics.
 func (n *Node) peerMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, peer.NewServer(n.keyring, n))
+	mux.Handle(peer.Path, n.work.track(peer.NewServer(n.keyring, n)))
 	n.membership.mount(mux)
 	n.configuration.mount(mux)
 	n.quota.mount(mux)
@@ -187,34 +204,6 @@
 	return mux
 }
 
-// Stop is a graceful shutdown: it takes no new work, lets running requests finish until ctx ends and
-// then closes everything. The listeners close in the order callers, peers, local, because the
-// upstream needs the local listener until its last call has ended.
-func (n *Node) Stop(ctx context.Context) error {
-	n.local.setDraining(true)
-	n.membership.setDraining(true)
-	var errs []error
-	for _, name := range []string{"caller", "peer", "local"} {
-		for _, s := range n.servers {
-			if s.Name != name {
-				continue
-			}
-			if err := s.Shutdown(ctx); err != nil {
-				errs = append(errs, fmt.Errorf("node: stop %s listener: %w", name, err))
-			}
-		}
-	}
-	n.quota.stop(ctx)
-	n.quota.shards.stop(ctx)
-	n.membership.leave(ctx)
-	n.stopTasks()
-	n.tasks.Wait()
-	n.peers.Close()
-	n.upstreams.Close()
-	n.log.Info().Msg("node stopped")
-	return errors.Join(errs...)
-}
-
 // ReplaceSecrets sets the secrets shared between nodes while the node runs.
 func (n *Node) ReplaceSecrets(secrets []string) {
 	n.keyring.Replace(secrets)
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -44,7 +44,9 @@
 }
 
 // newFleet starts count nodes, all seeded with the first, and commits a workspace, a key and routes.
-func newFleet(t testing.TB, count int) *fleet {
+func newFleet(t testing.TB, count int) *fleet { return newLoggedFleet(t, count, zerolog.Nop()) }
+
+func newLoggedFleet(t testing.TB, count int, log zerolog.Logger) *fleet {
 	f := &fleet{t: t, store: kvstore.NewMemory(time.Now)}
 	for i := range count {
 		s := settings.DefaultNode()
@@ -61,7 +63,7 @@
 			s.Seeds = []string{f.nodes[0].settings.PeerAddress}
 		}
 		must.NoError(t, s.Check())
-		n := New(&s, f.store, zerolog.Nop(), uint64(time.Now().UnixNano()))
+		n := New(&s, f.store, log, uint64(time.Now().UnixNano()))
 		must.NoError(t, n.Start())
 		f.nodes = append(f.nodes, n)
 	}
@@ -136,9 +138,10 @@
 	announcement := upstream.Announcement{Service: service, Address: address, Slots: 10, Connections: 100}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
+	n := f.nodes[i]
 	go func() {
 		for ctx.Err() == nil {
-			f.nodes[i].Announce(&announcement)
+			n.Announce(&announcement)
 			clock.Sleep(ctx, 500*time.Millisecond)
 		}
 	}()
