Refuse what a stopping cowslipd cannot end before itself

Callers saw: requests that other nodes forwarded to the home of their id during its stop, and calls of its upstream, were taken until the process ended and cut then. Callers of the node itself got no answer but a refused connection, and could still be given ids that end with the node.

Cause: while the caller listener waited for a long request, the peer and local listeners took work as before.

Evidence: before, TestStopRefusesLateHomeRequests got `deadline_exceeded`, `may_have_run` after 5 s (Stop had long returned), TestStopRefusesCallers `connect: connection refused`, and TestStopRefusesLateDownstreamCalls `200 done` for a call that began after the requests of the node would now be ended less 0.5 s.

Fix: a stop has a time at which requests are ended. The home of an id refuses a run whose deadline is after it. That is `not_run` with certainty: the record was made for this presentation, so none before has run, and it is removed again. Presentations that wait or have run get their answer. Calls of running requests are refused as not run in the last 0.5 s before that time. Callers' other requests are refused at once, as not run, or as may have run when they carry the id of another node. Connections are closed after an answer of a stopping node.

--- a/node/downstream.go
+++ b/node/downstream.go
@@ -31,6 +31,9 @@
 		return nil, call.NewRefusal(call.CodeBadRequest, call.NotRun,
 			"route %s is idempotent and must not call route %s, which is not", parent.req.Route, route.Name)
 	}
+	if n.work.endsBefore(time.Now().Add(lateCallMargin)) {
+		return nil, n.draining(call.NotRun)
+	}
 	child := newChildCall(parent.req, req, route, n.now())
 	n.limitBody(req.SetBodyDeadline, child.Deadline)
 	body, err := call.NewReplayBody(child)
--- a/node/entry.go
+++ b/node/entry.go
@@ -48,6 +48,9 @@
 	if !ok {
 		return nil, req.RequestID, call.NewRefusal(call.CodeUnknownRoute, outcome, "no route for %s %s", req.Method, req.Path)
 	}
+	if err := n.refuseWhileStopping(req.RequestID, &route, outcome); err != nil {
+		return nil, req.RequestID, err
+	}
 	root := newRootCall(req, route, now)
 	if !route.Open {
 		key, err := n.authenticate(req.Key, outcome)
--- a/node/identity.go
+++ b/node/identity.go
@@ -58,6 +58,9 @@
 
 // IssueRequestIDs implements caller.Handler. Without a key the ids serve open routes.
 func (n *Node) IssueRequestIDs(presented string, count int) ([]string, error) {
+	if n.work.stopping() {
+		return nil, n.draining(call.NotRun) // the ids would be lost with this node
+	}
 	workspace := ""
 	if presented != "" {
 		key, err := n.authenticate(presented, call.NotRun)
@@ -85,7 +88,7 @@
 	if err != nil {
 		return nil, call.NewRefusal(call.CodeRequestIDInvalid, call.NotRun, "%s: %v", call.HeaderRequestID, err)
 	}
-	if id.Node == n.settings.Name && id.Incarnation == n.identity.Load().incarnation {
+	if n.isHome(id) {
 		return n.runHome(ctx, id, req, body, rules)
 	}
 	home, ok := n.membership.find(id.Node, id.Incarnation)
@@ -107,6 +110,11 @@
 	return nil, refusal
 }
 
+// isHome tells whether this incarnation issued the id.
+func (n *Node) isHome(id requestid.ID) bool {
+	return id.Node == n.settings.Name && id.Incarnation == n.identity.Load().incarnation
+}
+
 // runHome decides about a presentation of an id that this incarnation issued. The request runs to its
 // end even when the caller goes away, so that a repeat gets the answer, but not longer than the node.
 func (n *Node) runHome(ctx context.Context, id requestid.ID, req *call.Request, body *call.ReplayBody, rules config.Rules) (*call.Answer, error) {
@@ -125,6 +133,11 @@
 				return nil, call.NewRefusal(call.CodeDeadline, call.MayHaveRun, "the request is still running")
 			}
 		default:
+			if n.work.endsBefore(req.Deadline) {
+				// The record was made for this presentation, so none before it has run.
+				decision.Attempt.FinishNotRun()
+				return nil, n.draining(call.NotRun)
+			}
 			ctx, cancel := context.WithDeadline(n.work.ctx, req.Deadline)
 			answer, err := n.runAttempt(ctx, decision.Attempt, req, body, rules)
 			if err != nil {
--- a/node/stop.go
+++ b/node/stop.go
@@ -6,11 +6,15 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/httpserver"
+	"github.com/cowslipglade/cowslipglade/internal/settings"
+	"github.com/cowslipglade/cowslipglade/requestid"
 )
 
 // Times at the end of a planned stop.
@@ -19,6 +23,9 @@
 	answerTime = 300 * time.Millisecond
 	// leaveTime is for returning rate tokens and leaving the member list.
 	leaveTime = 200 * time.Millisecond
+	// lateCallMargin before running requests are ended no call for them is begun. Such calls usually take a few
+	// tens of milliseconds.
+	lateCallMargin = 500 * time.Millisecond
 	// stopPoll is how often a stop looks for running requests.
 	stopPoll = 10 * time.Millisecond
 )
@@ -29,8 +36,11 @@
 // work holds the running requests of callers, other nodes and the upstream.
 type work struct {
 	// ctx is that of all requests. It ends when running ones are ended.
-	ctx     context.Context
-	cancel  context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// endAt is when running requests are ended; nil while the node does not stop.
+	endAt atomic.Pointer[time.Time]
+
 	mu      sync.Mutex
 	running map[*http.ResponseController]struct{}
 	ended   int
@@ -54,6 +64,9 @@
 			delete(w.running, controller)
 			w.mu.Unlock()
 		}()
+		if w.stopping() {
+			writer.Header().Set("Connection", "close") // another request on it could meet its end
+		}
 		if w.ctx.Err() != nil {
 			_ = controller.SetReadDeadline(time.Now()) // came after end
 		}
@@ -86,6 +99,33 @@
 	return w.ended
 }
 
+func (w *work) stopping() bool { return w.endAt.Load() != nil }
+
+// endsBefore tells whether running requests are ended before a time.
+func (w *work) endsBefore(t time.Time) bool {
+	endAt := w.endAt.Load()
+	return endAt != nil && endAt.Before(t)
+}
+
+// draining returns the refusal of a stopping node.
+func (n *Node) draining(outcome call.Outcome) *call.Refusal {
+	return call.NewRefusal(call.CodeDraining, outcome, "node %s stops", n.settings.Name)
+}
+
+// refuseWhileStopping refuses callers' requests, which can go to another node. Only this node can tell what
+// became of one with an id of its own.
+func (n *Node) refuseWhileStopping(requestID string, route *config.Route, outcome call.Outcome) error {
+	if !n.work.stopping() {
+		return nil
+	}
+	if !route.Idempotent && n.settings.Policy != settings.PolicyNone {
+		if id, err := requestid.Decode(requestID); err == nil && n.isHome(id) {
+			return nil
+		}
+	}
+	return n.draining(outcome)
+}
+
 // endedByStop names the stop as the reason of a request that it ended. What is known of the run stays.
 func (n *Node) endedByStop(err error) error {
 	if err == nil || n.work.ctx.Err() == nil {
@@ -99,8 +139,9 @@
 	return &refusal
 }
 
-// Stop is a graceful shutdown. It takes no new work for its upstream, waits for running requests, ends those that
-// still run shortly before ctx does with a refusal, and then closes everything. The listeners stay open until then: running requests need them, and others get an answer.
+// Stop is a graceful shutdown. It refuses new requests of callers and what cannot end before ctx does, waits
+// for running requests, ends those that still run shortly before ctx does with a refusal, and then closes
+// everything. The listeners stay open until then: running requests need them, and others get an answer.
 func (n *Node) Stop(ctx context.Context) error {
 	began := time.Now()
 	deadline, ok := ctx.Deadline()
@@ -108,6 +149,7 @@
 		deadline = began.Add(n.settings.ShutdownTimeout())
 	}
 	endAt := deadline.Add(-answerTime - leaveTime)
+	n.work.endAt.Store(&endAt)
 	n.local.setDraining(true)
 	n.membership.setDraining(true)
 	n.log.Info().Int("requests", n.work.count()).Time("end_at", endAt).Msg("node stops")
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,6 +139,106 @@
 	must.Error(t, s.end())
 }
 
+// A stopping home used to take requests that could not end before it, and cut them.
+func TestStopRefusesLateHomeRequests(t *testing.T) {
+	f := newFleet(t, 2)
+	var late atomic.Int64
+	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	defer releaseOnce()
+	started := make(chan struct{}, 1)
+	f.upstream(1, "hold", func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/hold/long":
+			started <- struct{}{}
+			<-release
+		case "/hold/late":
+			late.Add(1)
+			<-r.Context().Done()
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	ids := []string{f.requestID(0), f.requestID(0), f.requestID(0), f.requestID(0)}
+	done := <-f.later(1, "/hold/done", keyed(call.HeaderRequestID, ids[0]), nil)
+	must.Eq(t, "done", done.body)
+	long := f.later(0, "/hold/long", keyed(call.HeaderRequestID, ids[1]), nil)
+	<-started
+	s := f.beginStop(t, 0, 4*time.Second)
+	// An id that has run is answered, also during the stop; what can end in time runs.
+	repeat := <-f.later(1, "/hold/done", keyed(call.HeaderRequestID, ids[0]), nil)
+	must.Eq(t, "done", repeat.body, must.Sprint(repeat))
+	short := <-f.later(1, "/hold/short", keyed(call.HeaderRequestID, ids[2], call.HeaderTimeout, "1000"), nil)
+	must.Eq(t, "done", short.body, must.Sprint(short))
+	for range 2 { // a refused id is not used up
+		mustRefuse(t, <-f.later(1, "/hold/late", keyed(call.HeaderRequestID, ids[3]), nil), call.CodeDraining, call.NotRun)
+	}
+	must.Eq(t, 0, late.Load())
+	releaseOnce()
+	running := <-long
+	must.Eq(t, "done", running.body, must.Sprint(running))
+	must.NoError(t, s.end())
+}
+
+// Callers of a stopping node must hear that their requests have not run, and get no ids that end with it.
+func TestStopRefusesCallers(t *testing.T) {
+	f := newFleet(t, 2)
+	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	defer releaseOnce()
+	started := make(chan struct{}, 1)
+	f.upstream(1, "hold", func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	})
+	f.upstream(0, "stock", func(http.ResponseWriter, *http.Request) { t.Error("a refused request ran") })
+	other := f.requestID(1)
+	long := f.later(0, "/hold/a", keyed(call.HeaderRequestID, f.requestID(0)), nil)
+	<-started
+	s := f.beginStop(t, 0, 10*time.Second)
+	mustRefuse(t, <-f.later(0, "/stock/a", keyed(), nil), call.CodeDraining, call.NotRun)
+	// An earlier presentation elsewhere may have run.
+	mustRefuse(t, <-f.later(0, "/hold/a", keyed(call.HeaderRequestID, other), nil), call.CodeDraining, call.MayHaveRun)
+	mustRefuse(t, <-f.later(0, "/cowslip/request-ids", keyed(), nil), call.CodeDraining, call.NotRun)
+	releaseOnce()
+	must.Eq(t, 200, (<-long).status)
+	must.NoError(t, s.end())
+}
+
+// A running request may call other services until shortly before the end of the stop.
+func TestStopRefusesLateDownstreamCalls(t *testing.T) {
+	f := newFleet(t, 2)
+	f.upstream(1, "stock", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	started, early, late := make(chan struct{}), make(chan answer, 1), make(chan answer, 1)
+	stopBegan := make(chan struct{})
+	f.upstream(0, "hold", func(_ http.ResponseWriter, r *http.Request) {
+		downstream := func() answer {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+f.nodes[0].settings.LocalAddress+"/stock/a", nil)
+			request.Header.Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return answer{err: err}
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			return answer{response.StatusCode, string(body), err}
+		}
+		close(started)
+		<-stopBegan
+		early <- downstream()
+		time.Sleep(1250 * time.Millisecond)
+		late <- downstream()
+	})
+	seen := f.later(1, "/hold/a", keyed(call.HeaderRequestID, f.requestID(1)), nil)
+	<-started
+	s := f.beginStop(t, 0, 2*time.Second)
+	close(stopBegan)
+	first := <-early
+	must.Eq(t, "done", first.body, must.Sprint(first))
+	mustRefuse(t, <-late, call.CodeDraining, call.NotRun)
+	must.Eq(t, 200, (<-seen).status)
+	must.NoError(t, s.end())
+}
+
 // Connections on which nothing came used to prolong a stop by up to 5 s for each listener.
 func TestStopWithSilentConnections(t *testing.T) {
 	f := newFleet(t, 1)
