--- a/node/downstream.go
+++ b/node/downstream.go
@@ -13,6 +13,11 @@
 // Workspace, importance, deadline and retry budget come from the running call, so the upstream cannot
 // change them.
 func (n *Node) HandleDownstream(ctx context.Context, req *upstream.DownstreamCall) (*call.Answer, error) {
+	answer, err := n.handleDownstream(ctx, req)
+	return answer, n.endedByStop(err)
+}
+
+func (n *Node) handleDownstream(ctx context.Context, req *upstream.DownstreamCall) (*call.Answer, error) {
 	parent, ok := n.running.get(req.Token)
 	if !ok {
 		return nil, call.NewRefusal(call.CodeUnauthenticated, call.NotRun, "%s does not name a running call", call.HeaderCall)
@@ -26,6 +31,9 @@
 		return nil, call.NewRefusal(call.CodeBadRequest, call.NotRun,
 			"route %s is idempotent and must not call route %s, which is not", parent.req.Route, route.Name)
 	}
+	if n.work.endsBefore(time.Now().Add(lateCallMargin)) {
+		return nil, n.draining(call.NotRun)
+	}
 	child := newChildCall(parent.req, req, route, n.now())
 	n.limitBody(req.SetBodyDeadline, child.Deadline)
 	body, err := call.NewReplayBody(child)
