Soak: a planned stop cuts no request

Change: the ledger keeps each process with the signals that it was sent. A request that has run, whose client did not leave and got no whole answer after its node was told to stop breaks the promise, unless the process was killed or paused meanwhile. A broken stream counts only when the node's own upstream sent all of the answer. The sixth sabotage kills processes that are recorded as told to stop.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,7 +21,9 @@
 	// uploadShare is the share of requests with a large body.
 	uploadShare = 0.05
 	// leaveShare is the share of requests whose client leaves early.
-	leaveShare     = 0.05
+	leaveShare = 0.05
+	// heldShare is the share of requests on a connection that was opened before, for up to the time of a stop.
+	heldShare      = 0.01
 	requestTimeout = 1500 * time.Millisecond
 )
 
@@ -55,15 +58,32 @@
 
 // run sends the requests of one client, which uses its connection as long as it lasts.
 func (c *clients) run(ctx context.Context, n *node, rate float64) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	var dialer net.Dialer
+	held := make(chan net.Conn, 1)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case conn := <-held:
+			return conn, nil
+		default:
+			return dialer.DialContext(ctx, network, address)
+		}
+	}}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		pause := time.Duration(c.random.ExpFloat64() / rate * float64(time.Second))
 		r := c.draw()
-		leave := c.random.Float64() < leaveShare
+		leave, hold := c.random.Float64() < leaveShare, c.random.Float64() < heldShare
+		holdTime := time.Duration(c.random.Float64() * float64(graceTime))
 		c.mu.Unlock()
 		sleep(ctx, pause)
+		if hold {
+			client.CloseIdleConnections()
+			if conn, err := dialer.DialContext(ctx, "tcp4", n.requestAddress); err == nil { // the node may be away
+				held <- conn
+				sleep(ctx, holdTime)
+			}
+		}
 		limit := requestTimeout + graceTime // a client waits for an answer that is late
 		if leave {
 			limit = workTime
@@ -137,12 +157,12 @@
 	}
 	response, err := client.Do(message)
 	if err != nil {
-		return reply{}
+		return reply{left: ctx.Err() != nil}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return reply{}
+		return reply{left: ctx.Err() != nil, begun: true}
 	}
 	return reply{
 		status: response.StatusCode, id: strings.TrimSpace(response.Header.Get("Request-Id")),
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,6 +24,8 @@
 	SabotageRollback Sabotage = "rollback"
 	// SabotageCut makes upstreams send half of an answer as if it were whole.
 	SabotageCut Sabotage = "cut"
+	// SabotageStop kills processes that are recorded as told to stop.
+	SabotageStop Sabotage = "stop"
 )
 
 const (
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -45,6 +45,9 @@
 	service  string
 	at       time.Time
 	status   int
+	// node is the upstream's, and whole tells that the upstream has sent all of its answer.
+	node  string
+	whole bool
 }
 
 // reply is what a client got; status 0 is a connection that ended without a whole answer.
@@ -53,6 +56,9 @@
 	id        string
 	signature string
 	body      []byte
+	at        time.Time
+	// left means that the client gave up, and begun that an answer came in part.
+	left, begun bool
 }
 
 // Violation is a broken promise.
@@ -74,9 +80,10 @@
 	requests map[string]*request
 	replies  map[string]reply
 	runs     map[string][]*run
-	byNode   map[string]int // incarnation
-	drains   map[string]time.Time
-	configs  []configuration
+	// processes are those of each node, in the order of their incarnations.
+	processes map[string][]*process
+	drains    map[string]time.Time
+	configs   []configuration
 	// found are violations that are seen at once.
 	found []Violation
 }
@@ -93,8 +100,8 @@
 
 func newLedger() *ledger {
 	return &ledger{
-		requests: map[string]*request{}, replies: map[string]reply{}, runs: map[string][]*run{}, byNode: map[string]int{},
-		drains: map[string]time.Time{},
+		requests: map[string]*request{}, replies: map[string]reply{}, runs: map[string][]*run{},
+		processes: map[string][]*process{}, drains: map[string]time.Time{},
 	}
 }
 
@@ -102,12 +109,6 @@
 	l.found = append(l.found, Violation{promise, id, fmt.Sprintf(format, args...)})
 }
 
-func (l *ledger) started(node string, incarnation int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.byNode[node] = incarnation
-}
-
 // exited notes that a process has ended by itself with an error.
 func (l *ledger) exited(node string, code int) {
 	l.mu.Lock()
@@ -118,7 +119,7 @@
 func (l *ledger) sent(r *request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.sentAt, r.incarnation = time.Now(), l.byNode[r.node.name]
+	r.sentAt, r.incarnation = time.Now(), len(l.processes[r.node.name])
 	if l.requests[r.ID] == nil {
 		l.requests[r.ID] = r
 	}
@@ -127,6 +128,7 @@
 func (l *ledger) answered(id string, got reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	got.at = time.Now()
 	l.replies[id] = got
 }
 
@@ -160,10 +162,10 @@
 }
 
 // ran records the begin of a run and checks what the upstream was sent.
-func (l *ledger) ran(r *http.Request, id, instance, service string, body uint32) *run {
+func (l *ledger) ran(r *http.Request, id, instance string, u *upstream, body uint32) *run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	result := &run{ID: id, Instance: instance, service: service, at: time.Now()}
+	result := &run{ID: id, Instance: instance, service: u.service, node: u.node.name, at: time.Now()}
 	l.runs[id] = append(l.runs[id], result)
 	sent := l.requests[id]
 	if sent == nil {
@@ -192,6 +194,12 @@
 	r.status = status
 }
 
+func (l *ledger) wholeSent(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.whole = true
+}
+
 func (l *ledger) statuses() map[int]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -209,6 +217,7 @@
 	for id, sent := range l.requests {
 		l.checkReply(sent, l.replies[id])
 		l.checkRuns(p, sent, l.runs[id])
+		l.checkCut(sent, l.replies[id], l.runs[id])
 	}
 	l.checkRollback(p)
 	l.checkQuota(p)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -140,6 +140,7 @@
 			return
 		}
 		err = cmd.Wait()
+		n.world.ledger.gone(n.name)
 		n.mu.Lock()
 		stopped := n.stopped
 		n.mu.Unlock()
@@ -172,7 +173,7 @@
 	n.process = cmd.Process
 	n.incarnation++
 	n.stopped = false
-	n.world.ledger.started(n.name, n.incarnation)
+	n.world.ledger.started(n.name)
 	return cmd, nil
 }
 
@@ -181,6 +182,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.stopped = n.stopped || s == syscall.SIGTERM
+	n.world.ledger.signaled(n.name, s)
+	if s == syscall.SIGTERM && n.world.config.Sabotage == SabotageStop {
+		s = syscall.SIGKILL
+	}
 	if n.process != nil {
 		_ = n.process.Signal(s) // it may have ended
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,6 +89,9 @@
 	if config.Sabotage == SabotageRollback {
 		w.tasks.Go(func() { sleep(ctx, config.Length/2); w.rollBack() })
 	}
+	if config.Sabotage == SabotageStop {
+		w.tasks.Go(func() { w.stopEach(ctx) })
+	}
 	faults := 0
 	if config.Faultless {
 		sleep(ctx, config.Length)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,7 @@
 		SabotageWithdrawal: "a withdrawn key stops working",
 		SabotageRollback:   "a configuration never reverts",
 		SabotageCut:        "a success is the whole answer to the caller's request",
+		SabotageStop:       "a planned stop cuts no request",
 		"":                 "",
 	} {
 		t.Run(string(sabotage), func(t *testing.T) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -198,7 +198,7 @@
 	if err != nil {
 		return // an incomplete request is not run
 	}
-	run := u.world.ledger.ran(r, id, instance, u.service, crc32.ChecksumIEEE(body))
+	run := u.world.ledger.ran(r, id, instance, u, crc32.ChecksumIEEE(body))
 	if f != flawSlow && f != flawNone && rand.Float64() >= flawShare {
 		f = flawNone
 	}
@@ -250,7 +250,9 @@
 		_, _ = w.Write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write(body) // the node may have gone
+	if _, err := w.Write(body); err == nil { // the node may have gone
+		u.world.ledger.wholeSent(run)
+	}
 	if f == flawExtra {
 		u.extra(w, run)
 	}
