Soak: faults around stops, and a promise that stops end

Cause: the soak told nodes to stop eight times in ten seeds and never soon after another signal, together with the rest of a failure domain or soon after a restart. Nothing checked that a stop ends. Change: a schedule of its own, which leaves those of the older seeds as they were, with reloads in quick succession and a stop, overlapping stops of a failure domain, and a second stop within 1 s of the restart. A process that was told to stop and was not killed or paused must have ended 7 s later; a run waits for that at its end.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +33,8 @@
 const (
 	// faultGap is the mean time between the begins of two faults, so that about four overlap.
 	faultGap = 500 * time.Millisecond
+	// stopGap is the mean time between the begins of two faults around stops, two or three for each run.
+	stopGap = 4 * time.Second
 	// Faults last from shortFault to longFault; the longest outlives the bound on withdrawn keys.
 	shortFault = 300 * time.Millisecond
 	longFault  = 4 * time.Second
@@ -41,6 +45,12 @@
 	losingStore = 0.3
 	// lateWrites take effect after their caller has given up.
 	lateWrites = 5
+	// reloadCount is the number of reloads in quick succession, up to quickGap apart: a reload takes about as long.
+	reloadCount = 4
+	quickGap    = 300 * time.Microsecond
+	// Stops of a failure domain begin from shortStopGap to longStopGap apart, so that they overlap.
+	shortStopGap = 200 * time.Millisecond
+	longStopGap  = 500 * time.Millisecond
 )
 
 // fault is something that goes wrong for a while.
@@ -130,6 +140,48 @@
 	return list
 }
 
+// stopFaults are stops that follow other signals.
+func stopFaults() []fault {
+	return []fault{
+		{name: "reloads and stop", hit: func(_ *world, n *node, random *rand.Rand) func() {
+			gap := time.Duration(random.Float64() * float64(quickGap))
+			for range reloadCount {
+				n.signal(syscall.SIGHUP)
+				for begin := time.Now(); time.Since(begin) < gap; { // a sleep of less than a millisecond takes one
+				}
+			}
+			n.signal(syscall.SIGTERM)
+			return nil
+		}},
+		{name: "rolling stop", single: true, hit: func(w *world, n *node, random *rand.Rand) func() {
+			gap := shortStopGap + time.Duration(random.Float64()*float64(longStopGap-shortStopGap))
+			w.ends.Go(func() {
+				for _, other := range w.nodes {
+					if other.domain == n.domain {
+						other.signal(syscall.SIGTERM)
+						time.Sleep(gap)
+					}
+				}
+			})
+			return nil
+		}},
+		{name: "stop and stop again", hit: func(w *world, n *node, random *rand.Rand) func() {
+			pause := time.Duration(random.Float64() * float64(time.Second))
+			next := n.started() + 1
+			n.signal(syscall.SIGTERM)
+			w.ends.Go(func() {
+				deadline := time.Now().Add(stopLimit + restartDelay)
+				for n.started() < next && time.Now().Before(deadline) {
+					time.Sleep(workTime)
+				}
+				time.Sleep(pause)
+				n.signal(syscall.SIGTERM)
+			})
+			return nil
+		}},
+	}
+}
+
 // withdrawKey takes the first key of a workspace away unless it is the last. Clients go on with it.
 func withdrawKey(w *world, _ *node, random *rand.Rand) func() {
 	workspace := fmt.Sprintf("w%d", random.IntN(2))
@@ -170,13 +222,30 @@
 	})
 }
 
-// injectFaults plays the schedule of a seed and returns the number of faults, when all have ended.
-func (w *world) injectFaults(ctx context.Context, random *rand.Rand) int {
-	kinds := faults()
+// injectFaults plays the schedules of a seed and returns the number of faults, when all have ended. Each schedule
+// has its own stream, so that a further one does not change the others.
+func (w *world) injectFaults(ctx context.Context) int {
+	var count atomic.Int64
+	var schedules sync.WaitGroup
+	for _, s := range []struct {
+		kinds  []fault
+		gap    time.Duration
+		stream uint64
+	}{{faults(), faultGap, faultStream}, {stopFaults(), stopGap, stopStream}} {
+		random := rand.New(rand.NewPCG(w.config.Seed, s.stream))
+		schedules.Go(func() { count.Add(int64(w.play(ctx, s.kinds, s.gap, random))) })
+	}
+	schedules.Wait()
+	w.ends.Wait()
+	return int(count.Load())
+}
+
+// play plays one schedule and returns the number of its faults.
+func (w *world) play(ctx context.Context, kinds []fault, meanGap time.Duration, random *rand.Rand) int {
 	start := time.Now()
 	count := 0
 	for ctx.Err() == nil && time.Since(start) < w.config.Length {
-		sleep(ctx, time.Duration(random.ExpFloat64()*float64(faultGap)))
+		sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanGap)))
 		f := kinds[random.IntN(len(kinds))]
 		length := shortFault + time.Duration(random.Float64()*float64(longFault-shortFault))
 		victims := []*node{w.nodes[random.IntN(len(w.nodes))]}
@@ -195,7 +264,6 @@
 			}
 		}
 	}
-	w.ends.Wait()
 	return count
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -219,6 +219,7 @@
 		l.checkRuns(p, sent, l.runs[id])
 		l.checkCut(sent, l.replies[id], l.runs[id])
 	}
+	l.checkStops(time.Now())
 	l.checkRollback(p)
 	l.checkQuota(p)
 	slices.SortStableFunc(l.found, func(a, b Violation) int { return strings.Compare(a.Request, b.Request) })
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// started returns the number of processes so far.
+func (n *node) started() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.incarnation
+}
+
 func (n *node) close() {
 	n.mu.Lock()
 	n.closed = true
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -75,6 +75,39 @@
 	return paused
 }
 
+// stopLimit is the time in which a process that is told to stop ends.
+const stopLimit = graceTime + stopMargin
+
+// stopping tells whether a process may still end in time.
+func (l *ledger) stopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, list := range l.processes {
+		for _, p := range list {
+			if stopAt, ok := p.stopAt(); ok && p.goneAt.IsZero() && time.Since(stopAt) <= stopLimit {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkStops looks for processes that were told to stop and went on.
+func (l *ledger) checkStops(now time.Time) {
+	for node, list := range l.processes {
+		for _, p := range list {
+			stopAt, ok := p.stopAt()
+			end := p.goneAt
+			if end.IsZero() {
+				end = now
+			}
+			if ok && end.Sub(stopAt) > stopLimit && !p.disturbed(stopAt, stopAt.Add(stopLimit)) {
+				l.violate("a process that is told to stop ends by itself in time", node, "%v after the signal it had not ended", end.Sub(stopAt))
+			}
+		}
+	}
+}
+
 // checkCut looks for requests that have run and whose client got no whole answer because their node was told to
 // stop. An answer that came in part counts only if the node's own upstream sent all of it: another node or the
 // link to it may break off a stream, which leaves nothing but to abort it.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -45,3 +45,29 @@
 		})
 	}
 }
+
+func TestCheckStops(t *testing.T) {
+	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	stop := sentSignal{syscall.SIGTERM, at(10)}
+	for name, c := range map[string]struct {
+		signals []sentSignal
+		goneAt  time.Time
+		late    bool
+	}{
+		"in time":           {[]sentSignal{stop}, at(17), false},
+		"late":              {[]sentSignal{stop}, at(18), true},
+		"never":             {[]sentSignal{stop}, time.Time{}, true},
+		"at the second one": {[]sentSignal{{syscall.SIGHUP, at(9)}, stop, {syscall.SIGTERM, at(20)}}, at(21), true},
+		"killed":            {[]sentSignal{stop, {syscall.SIGKILL, at(12)}}, at(18), false},
+		"killed late":       {[]sentSignal{stop, {syscall.SIGKILL, at(18)}}, at(18), true},
+		"paused":            {[]sentSignal{stop, {syscall.SIGSTOP, at(12)}, {syscall.SIGCONT, at(15)}}, at(18), false},
+		"not told to stop":  {[]sentSignal{{syscall.SIGHUP, at(9)}}, time.Time{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger()
+			l.processes["n0"] = []*process{{signals: c.signals, goneAt: c.goneAt}}
+			l.checkStops(at(30))
+			must.Eq(t, c.late, len(l.found) > 0)
+		})
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,7 +13,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"time"
@@ -96,9 +95,12 @@
 	if config.Faultless {
 		sleep(ctx, config.Length)
 	} else {
-		faults = w.injectFaults(ctx, rand.New(rand.NewPCG(config.Seed, faultStream)))
+		faults = w.injectFaults(ctx)
 	}
 	sleep(ctx, settleTime)
+	for w.ledger.stopping() && ctx.Err() == nil {
+		sleep(ctx, restartDelay)
+	}
 	w.clients.stop()
 	report := &Report{Seed: config.Seed, Faults: faults, Requests: w.ledger.statuses()}
 	report.Violations = w.ledger.check(w.promises)
@@ -110,6 +112,7 @@
 	faultStream = iota
 	loadStream
 	storeStream
+	stopStream
 )
 
 func (c *Config) logPath(node string) string { return filepath.Join(c.Dir, node+".log") }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -13,8 +13,10 @@
 
 // Bounds of the promises, as the nodes are told them.
 const (
-	drainTime      = 2 * time.Second
-	graceTime      = 6 * time.Second
+	drainTime = 2 * time.Second
+	graceTime = 6 * time.Second
+	// stopMargin is for the end of a process after its shutdown timeout, on a machine that is busy with other tests.
+	stopMargin     = time.Second
 	withdrawalTime = 3 * time.Second
 	rollbackTime   = 250 * time.Millisecond
 	quotaWindow    = 5 * time.Second
