Soak: answers without end, and a promise on memory

Cause: no upstream of the soak sent a head or a body without end, and nothing looked at the memory of the nodes. Change: two flaws in a schedule of their own, which send 32 KiB each millisecond until the caller closes the connection. Clients leave when an answer is twice as long as any good one.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -25,6 +25,8 @@
 	// heldShare is the share of requests on a connection that was opened before, for up to the time of a stop.
 	heldShare      = 0.01
 	requestTimeout = 1500 * time.Millisecond
+	// answerLimit is above every good answer; the client leaves when it gets as much.
+	answerLimit = 2 * answerBytes
 )
 
 // clients send requests with open connections to their nodes until a process is gone.
@@ -160,7 +162,10 @@
 		return reply{left: ctx.Err() != nil}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if len(body) == answerLimit {
+		return reply{left: true, begun: true}
+	}
 	if err != nil {
 		return reply{left: ctx.Err() != nil, begun: true}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,6 +35,8 @@
 	faultGap = 500 * time.Millisecond
 	// stopGap is the mean time between the begins of two faults around stops, two or three for each run.
 	stopGap = 4 * time.Second
+	// endlessGap is that of answers without end.
+	endlessGap = 4 * time.Second
 	// Faults last from shortFault to longFault; the longest outlives the bound on withdrawn keys.
 	shortFault = 300 * time.Millisecond
 	longFault  = 4 * time.Second
@@ -182,6 +184,10 @@
 	}
 }
 
+func endlessFaults() []fault {
+	return []fault{upstreamFault(flawEndlessHead), upstreamFault(flawEndlessBody)}
+}
+
 // withdrawKey takes the first key of a workspace away unless it is the last. Clients go on with it.
 func withdrawKey(w *world, _ *node, random *rand.Rand) func() {
 	workspace := fmt.Sprintf("w%d", random.IntN(2))
@@ -231,7 +237,7 @@
 		kinds  []fault
 		gap    time.Duration
 		stream uint64
-	}{{faults(), faultGap, faultStream}, {stopFaults(), stopGap, stopStream}} {
+	}{{faults(), faultGap, faultStream}, {stopFaults(), stopGap, stopStream}, {endlessFaults(), endlessGap, endlessStream}} {
 		random := rand.New(rand.NewPCG(w.config.Seed, s.stream))
 		schedules.Go(func() { count.Add(int64(w.play(ctx, s.kinds, s.gap, random))) })
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -47,7 +47,7 @@
 appAddr = "{{.Upstream}}"
 service = "{{.Service}}"
 [self.limits]
-memoryMb = 284
+memoryMb = {{.MemoryMb}}
 maxFds = 4100
 [network]
 internalPorts = [{{.ControlPort}}, {{.ControlPort}}]
@@ -120,6 +120,7 @@
 		"Peer": n.peerAddress, "Request": n.requestAddress, "Ready": n.readyAddress, "Heartbeat": n.heartbeatAddress,
 		"Store": n.store.address(), "HeartbeatS": heartbeatEvery.Seconds(), "DrainS": drainTime.Seconds(), "GraceS": graceTime.Seconds(),
 		"RevokeS": withdrawalTime.Seconds(), "QuotaWindowS": quotaWindow.Seconds(), "QuotaOver": quotaOver, "QuotaSlack": quotaSlack,
+		"MemoryMb": memoryMiB,
 	})
 	if err != nil {
 		return err
@@ -139,7 +140,10 @@
 		if cmd == nil {
 			return
 		}
+		ended := make(chan struct{})
+		go n.watchMemory(cmd.Process.Pid, ended)
 		err = cmd.Wait()
+		close(ended)
 		n.world.ledger.gone(n.name)
 		n.mu.Lock()
 		stopped := n.stopped
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,6 +113,7 @@
 	loadStream
 	storeStream
 	stopStream
+	endlessStream
 )
 
 func (c *Config) logPath(node string) string { return filepath.Join(c.Dir, node+".log") }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -31,6 +31,9 @@
 	flawForeign flaw = "foreign"
 	flawSlow    flaw = "slow"
 	flawErrors  flaw = "errors"
+	// flawEndlessHead and flawEndlessBody send bytes until the caller closes the connection.
+	flawEndlessHead flaw = "endless head"
+	flawEndlessBody flaw = "endless body"
 )
 
 const (
@@ -46,6 +49,9 @@
 	innerLimit = time.Second
 	// answerBytes is the longest answer, above what a node holds in memory before it passes it on.
 	answerBytes = 96 << 10
+	// endlessChunk bytes each endlessPause are 32 MB/s, so that a process above its limit is noticed in time.
+	endlessChunk = 32 << 10
+	endlessPause = time.Millisecond
 )
 
 // upstream is the stand-in beside one node. Restarts keep its address and change its instance.
@@ -231,6 +237,13 @@
 		return
 	case flawLost:
 		panic(http.ErrAbortHandler)
+	case flawEndlessHead:
+		endlessHead(w)
+		return
+	case flawEndlessBody:
+		u.world.ledger.ended(run, http.StatusOK)
+		endless(r.Context(), w)
+		return
 	case flawForeign:
 		w.Header().Set("Request-Id", "another")
 	}
@@ -258,6 +271,28 @@
 	}
 }
 
+// endlessHead sends a field of the head that has no end.
+func endlessHead(w http.ResponseWriter) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nPadding: ") // endless reports the error
+	endless(context.Background(), buffered)
+}
+
+// endless sends bytes until the receiver closes the connection or ctx ends.
+func endless(ctx context.Context, w io.Writer) {
+	chunk := bytes.Repeat([]byte("a"), endlessChunk)
+	for ctx.Err() == nil {
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+		time.Sleep(endlessPause)
+	}
+}
+
 // extra sends bytes after a complete answer.
 func (u *upstream) extra(w http.ResponseWriter, run *run) {
 	controller := http.NewResponseController(w)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -22,6 +22,7 @@
 	quotaWindow    = 5 * time.Second
 	quotaOver      = 0.1
 	quotaSlack     = 20.0
+	memoryMiB      = 284
 )
 
 // Paths and names of the deployment.
