--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -47,7 +47,7 @@
 appAddr = "{{.Upstream}}"
 service = "{{.Service}}"
 [self.limits]
-memoryMb = 284
+memoryMb = {{.MemoryMb}}
 maxFds = 4100
 [network]
 internalPorts = [{{.ControlPort}}, {{.ControlPort}}]
@@ -120,6 +120,7 @@
 		"Peer": n.peerAddress, "Request": n.requestAddress, "Ready": n.readyAddress, "Heartbeat": n.heartbeatAddress,
 		"Store": n.store.address(), "HeartbeatS": heartbeatEvery.Seconds(), "DrainS": drainTime.Seconds(), "GraceS": graceTime.Seconds(),
 		"RevokeS": withdrawalTime.Seconds(), "QuotaWindowS": quotaWindow.Seconds(), "QuotaOver": quotaOver, "QuotaSlack": quotaSlack,
+		"MemoryMb": memoryMiB,
 	})
 	if err != nil {
 		return err
@@ -139,7 +140,11 @@
 		if cmd == nil {
 			return
 		}
+		ended := make(chan struct{})
+		go n.watchMemory(cmd.Process.Pid, ended)
 		err = cmd.Wait()
+		close(ended)
+		n.world.ledger.gone(n.name)
 		n.mu.Lock()
 		stopped := n.stopped
 		n.mu.Unlock()
@@ -172,7 +177,7 @@
 	n.process = cmd.Process
 	n.incarnation++
 	n.stopped = false
-	n.world.ledger.started(n.name, n.incarnation)
+	n.world.ledger.started(n.name)
 	return cmd, nil
 }
 
@@ -181,11 +186,22 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.stopped = n.stopped || s == syscall.SIGTERM
+	n.world.ledger.signaled(n.name, s)
+	if s == syscall.SIGTERM && n.world.config.Sabotage == SabotageStop {
+		s = syscall.SIGKILL
+	}
 	if n.process != nil {
 		_ = n.process.Signal(s) // it may have ended
 	}
 }
 
+// started returns the number of processes so far.
+func (n *node) started() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.incarnation
+}
+
 func (n *node) close() {
 	n.mu.Lock()
 	n.closed = true
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,7 +13,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"time"
@@ -89,13 +88,19 @@
 	if config.Sabotage == SabotageRollback {
 		w.tasks.Go(func() { sleep(ctx, config.Length/2); w.rollBack() })
 	}
+	if config.Sabotage == SabotageStop {
+		w.tasks.Go(func() { w.stopEach(ctx) })
+	}
 	faults := 0
 	if config.Faultless {
 		sleep(ctx, config.Length)
 	} else {
-		faults = w.injectFaults(ctx, rand.New(rand.NewPCG(config.Seed, faultStream)))
+		faults = w.injectFaults(ctx)
 	}
 	sleep(ctx, settleTime)
+	for w.ledger.stopping() && ctx.Err() == nil {
+		sleep(ctx, restartDelay)
+	}
 	w.clients.stop()
 	report := &Report{Seed: config.Seed, Faults: faults, Requests: w.ledger.statuses()}
 	report.Violations = w.ledger.check(w.promises)
@@ -107,6 +112,8 @@
 	faultStream = iota
 	loadStream
 	storeStream
+	stopStream
+	endlessStream
 )
 
 func (c *Config) logPath(node string) string { return filepath.Join(c.Dir, node+".log") }
