Keep the shares whole when a fleet starts

A node that has just inherited its share told other nodes that had not joined yet what they held, though it had met none of them: 0. Besides, a node that had divided the shares paused for a round before its next exchange, and another, whose last news of it was older, divided them again by another list of members. Traced sums of shares over four nodes were 0.5 and 0.75, so the fleet had too few tokens for the burst. Loans were not the cause: none timed out or failed, and none was held until its limit.

The third fault was found on the way: a restarted node took an equal share when the others, which had not noticed the restart, had all sent it a message. That share was in force twice.

What callers saw. Requests within the rate and burst of their workspace got 429 in the time after nodes started together:

loans_test.go: request 39: rate_exceeded (not_run): workspace w is above this node's share of its rate

A node tells another what it held only if it divided the shares itself, has had the other's report, or joined at least one turn ago. A node does not divide shares while one that has joined is in reach. A node exchanges state at once after it has joined.

TestSharesStartMeetsNewlyJoined and TestSharesRestartUnnoticed fail without the change to ratelimit:

The exchange after the join has no test of its own.

--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -40,7 +40,7 @@
 	s.updateHolders()
 	m := s.members[to]
 	message := ShareMessage{
-		Joined: s.joined, Remembers: s.joined && (m == nil || !m.joined),
+		Joined: s.joined, Remembers: s.remembers(m, now),
 		Epoch: s.epoch, Settled: to == s.first && s.settled(now),
 	}
 	for name, b := range s.workspaces {
@@ -68,6 +68,16 @@
 	return message
 }
 
+// remembers tells whether this node can say what a member without share held. One that has inherited its own
+// share has not met all others yet: it would report none for those whose share another node remembers.
+func (s *Shares) remembers(m *shareMember, now time.Time) bool {
+	if !s.joined || m != nil && m.joined {
+		return false
+	}
+	met := s.config.JoinWait + time.Duration(s.turn-1)*s.config.Round
+	return m != nil && m.known || now.Sub(s.inherited) >= met
+}
+
 // give returns the share that another node should get, so that both hold it in proportion to their weight.
 func (s *Shares) give(b *shareBucket, name string, other ShareEntry) float64 {
 	own, theirs := s.weight(b, s.self.Name, b.demand), s.weight(b, name, other.Demand)
@@ -118,7 +128,7 @@
 		}
 	}
 	if inherits {
-		s.joined, s.epoch, s.epochAt = true, message.Epoch, now
+		s.joined, s.inherited, s.epoch, s.epochAt = true, now, message.Epoch, now
 	}
 	m := s.members[from]
 	if m == nil {
@@ -126,6 +136,7 @@
 	}
 	m.at, m.joined, m.epoch, m.settled = now, message.Joined, message.Epoch, message.Settled
 	if message.Joined {
+		m.known = true
 		clear(m.entries) // of workspaces that the node does not know, or no longer
 	}
 	for _, entry := range message.Entries {
@@ -159,6 +170,9 @@
 func (s *Shares) joinEvenly(now time.Time) {
 	heard := 0
 	for _, m := range s.members {
+		if m.joined && now.Sub(m.at) < s.reportLifetime() {
+			return // a node that remembers this one's share will tell it
+		}
 		if !m.at.IsZero() {
 			heard++
 		}
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -78,6 +78,7 @@
 	joined     bool
 	contact    time.Time // first contact with another node
 	listed     bool      // the members are known
+	inherited  time.Time // when another node told what this one held, zero for a node that joined evenly
 	workspaces map[string]*shareBucket
 	members    map[string]*shareMember
 	// turn is the number of rounds in which the fleet is covered once.
@@ -93,6 +94,7 @@
 	Member
 	at      time.Time
 	joined  bool
+	known   bool // has reported its share since this node's start
 	epoch   uint64
 	settled bool
 	entries map[string]ShareEntry
--- a/ratelimit/shares_test.go
+++ b/ratelimit/shares_test.go
@@ -437,6 +437,79 @@
 	must.Between(t, 0.99, f.totalShare(), 1.01)
 }
 
+// A node gets its share at a start of the whole fleet also if the first node that it meets has only just
+// joined itself and does not know what others hold. It used to be told that it held nothing.
+func TestSharesStartMeetsNewlyJoined(t *testing.T) {
+	f := newSharesFleet(3, Quota{Rate: 40, Burst: 40})
+	send := func(from, to string) {
+		f.nodes[to].Receive(from, f.nodes[from].Message(to, f.now), f.now)
+	}
+	send("n01", "n00")
+	send("n02", "n00")
+	must.True(t, f.nodes["n00"].Adjust(f.now))
+	send("n00", "n01")
+	must.True(t, f.nodes["n01"].Adjust(f.now))
+	send("n01", "n02")
+	f.nodes["n02"].Adjust(f.now)
+	send("n02", "n00")
+	send("n00", "n02")
+	must.True(t, f.nodes["n02"].Adjust(f.now))
+	sum := 0.0
+	for _, name := range f.names {
+		sum += f.nodes[name].Status()["w"].Share
+	}
+	must.InDelta(t, 1, sum, 1e-6)
+}
+
+// A restarted node takes no equal share while another, which has not noticed the restart, holds some.
+func TestSharesRestartUnnoticed(t *testing.T) {
+	f := newSharesFleet(2, Quota{Rate: 40, Burst: 40})
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 20 {
+		f.round(random, i, nil)
+	}
+	f.start("n01")
+	restarted, other := f.nodes["n01"], f.nodes["n00"]
+	restarted.Receive("n00", other.Message("n01", f.now), f.now)
+	must.False(t, restarted.Adjust(f.now))
+	other.Receive("n01", restarted.Message("n00", f.now), f.now)
+	restarted.Receive("n00", other.Message("n01", f.now), f.now)
+	must.True(t, restarted.Adjust(f.now))
+	must.InDelta(t, 1, restarted.Status()["w"].Share+other.Status()["w"].Share, 1e-6)
+}
+
+// A new node beside one that has just restarted holds nothing until others give, and does not wait for ever.
+func TestSharesNewNodeMeetsNewlyJoined(t *testing.T) {
+	f := newSharesFleet(3, Quota{Rate: 40, Burst: 40})
+	f.names = f.names[:2]
+	for _, name := range f.names {
+		f.nodes[name].SetMembers(f.others(name))
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 20 {
+		f.round(random, i, nil)
+	}
+	f.start("n01")
+	f.nodes["n01"].Receive("n00", f.nodes["n00"].Message("n01", f.now), f.now)
+	f.names = append(f.names, "n02")
+	f.start("n02")
+	for _, name := range f.names[:2] {
+		f.nodes[name].SetMembers(f.others(name))
+	}
+	// Only the restarted node reaches the new one.
+	for i := range 20 {
+		f.nodes["n02"].Receive("n01", f.nodes["n01"].Message("n02", f.now), f.now)
+		joined := f.nodes["n02"].Adjust(f.now)
+		must.LessEq(t, 0.5, f.nodes["n02"].Status()["w"].Share, must.Sprint("round ", i))
+		if joined {
+			return
+		}
+		f.now = f.now.Add(DefaultSharesConfig().Round)
+		f.nodes["n01"].Receive("n02", f.nodes["n02"].Message("n01", f.now), f.now)
+	}
+	t.Fatal("the new node has not joined")
+}
+
 // A workspace that nodes learn of at different times is not lost share. The first node used to take what the
 // others did not know of yet, and the workspace had nearly twice its rate.
 func TestSharesWorkspaceLearntLate(t *testing.T) {
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -95,16 +95,21 @@
 
 // run exchanges state in rounds until ctx ends.
 func (g *gossip) run(ctx context.Context) {
+	joined := false
 	for ctx.Err() == nil {
 		var round sync.WaitGroup
 		for _, target := range g.targets() {
 			round.Go(func() { g.exchange(ctx, target) })
 		}
 		round.Wait()
-		if g.node.shares.Adjust(time.Now()) {
-			clock.Sleep(ctx, jittered(gossipEvery))
-		} else {
+		joinedBefore := joined
+		joined = g.node.shares.Adjust(time.Now())
+		switch {
+		case !joined:
 			clock.Sleep(ctx, gossipJoining)
+		case joinedBefore:
+			clock.Sleep(ctx, jittered(gossipEvery))
+		default: // no pause: nodes that have not heard of the join would divide the same rates again
 		}
 	}
 }
