Do not take back, by a reload, that a node stops

Others saw: a node whose settings were reloaded while its stop began could be published as not stopping, with the higher sequence number, and got calls that it then had to refuse.

Cause: what is published was put together before the lock that numbers it, so an earlier state could get a later number. The same holds for an upstream that leaves.

Change: both happen under the lock.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -97,29 +97,34 @@
 
 // publish brings the own registration up to date and has it written.
 func (r *registry) publish() {
+	r.mu.Lock()
+	r.own = r.describe(r.own.Sequence + 1)
+	r.dirty = true
+	r.mu.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+	r.apply()
+}
+
+// describe returns what others are to know of this node now. The caller holds the lock, so that a later
+// sequence number never comes with an earlier state.
+func (r *registry) describe(sequence int64) Registration {
 	n := r.node
 	settings := n.settings()
 	next := Registration{
 		Node: settings.Node, Incarnation: n.incarnation, FailureDomain: settings.FailureDomain, Region: settings.Region,
 		PeerAddress:    cmp.Or(settings.AdvertisedPeerAddress, settings.PeerAddress),
 		ControlAddress: cmp.Or(settings.AdvertisedControlAddress, settings.ControlAddress), Service: settings.Service,
-		Stopping: n.stopping.Load(),
+		Stopping: n.stopping.Load(), Sequence: sequence,
 	}
 	if u := n.local.current.Load(); u != nil {
 		next.Service, next.Instance, next.Slots = u.Service, u.Instance, u.Slots
 		next.WarmUpMS = u.WarmUp.Milliseconds()
 		next.Serving = !u.leaving()
 	}
-	r.mu.Lock()
-	next.Sequence = r.own.Sequence + 1
-	r.own = next
-	r.dirty = true
-	r.mu.Unlock()
-	select {
-	case r.changed <- struct{}{}:
-	default:
-	}
-	r.apply()
+	return next
 }
 
 func (r *registry) registration() Registration {
