--- a/sidecar/loans_test.go
+++ b/sidecar/loans_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/ratelimit"
 )
 
 // Requests within the rate are admitted where all of them enter at one node from one moment to the next: it
@@ -25,6 +28,10 @@
 			return nil
 		})
 	}
+	// The nodes start one after the other, so that the first may hold the whole rate for a while and need no loan.
+	for _, n := range f.nodes {
+		f.eventually(func() error { return f.holdsShare(n, 0.2, 0.3) })
+	}
 	for i := range rate {
 		got := f.send(f.nodes[0], http.MethodPost, "/once/a", fmt.Sprint("id", i), "key-1", time.Second)
 		must.Eq(t, http.StatusOK, got.status, must.Sprintf("request %d: %s", i, got.body))
@@ -32,3 +39,18 @@
 	_, vars := f.vars(f.nodes[0])
 	must.StrContains(t, vars, `"quota_loans_total": {"tokens": `)
 }
+
+// holdsShare returns an error unless a node's share of the rate lies between two bounds.
+func (f *fleet) holdsShare(n *fleetNode, least, most float64) error {
+	var vars struct {
+		Shares map[string]ratelimit.ShareStatus `json:"quota_shares"`
+	}
+	_, text := f.vars(n)
+	if err := json.Unmarshal([]byte(text), &vars); err != nil {
+		return err
+	}
+	if share := vars.Shares["w"].Share; share < least || share > most {
+		return fmt.Errorf("%s holds %.3f of the rate", n.settings.Node, share)
+	}
+	return nil
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -172,7 +172,7 @@
 	n.cancel()
 	n.cutRunning()
 	for _, server := range n.servers {
-		_ = server.Server.Close()
+		_ = server.Close()
 	}
 	n.tasks.Wait()
 	n.forwarder.Close()
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -308,7 +308,8 @@
 	entry, err := f.store.Get(t.Context(), "op/config")
 	must.NoError(t, err)
 	document := fmt.Sprintf(configuration, 2, `"key-1"`, 1, 1)
-	document = document[:strings.Index(document, `"tenants"`)] + `"tenants":[]}`
+	document, _, _ = strings.Cut(document, `"tenants"`)
+	document += `"tenants":[]}`
 	_, err = f.store.CompareAndSwap(t.Context(), "op/config", entry.Revision, []byte(document), kvstore.NoLease)
 	must.NoError(t, err)
 	f.eventually(func() error {
