Serve requests that came to cowslipd before its stop and whose body comes during it

The scenario had not been run with the refusal of late home requests.

Cause: whether a home request is refused was decided when its body had arrived, by the time of the decision.

Change: requests are marked when they come during a stop, and only these are refused for their deadline.

Before: TestScripts/stop failed, "status is not [200] ... code draining". After: it and the tests of node's stop pass.

--- a/node/identity.go
+++ b/node/identity.go
@@ -133,7 +133,7 @@
 				return nil, call.NewRefusal(call.CodeDeadline, call.MayHaveRun, "the request is still running")
 			}
 		default:
-			if n.work.endsBefore(req.Deadline) {
+			if n.work.refuses(ctx, req.Deadline) {
 				// The record was made for this presentation, so none before it has run.
 				decision.Attempt.FinishNotRun()
 				return nil, n.draining(call.NotRun)
--- a/node/stop.go
+++ b/node/stop.go
@@ -66,6 +66,7 @@
 		}()
 		if w.stopping() {
 			writer.Header().Set("Connection", "close") // another request on it could meet its end
+			r = r.WithContext(context.WithValue(r.Context(), cameDuringStop{}, true))
 		}
 		if w.ctx.Err() != nil {
 			_ = controller.SetReadDeadline(time.Now()) // came after end
@@ -101,6 +102,15 @@
 
 func (w *work) stopping() bool { return w.endAt.Load() != nil }
 
+// cameDuringStop is the key of a context value that marks requests which came after the signal.
+type cameDuringStop struct{}
+
+// refuses tells whether a request came during a stop and could be ended by it. One that came before is served,
+// also when its body is still on its way.
+func (w *work) refuses(ctx context.Context, deadline time.Time) bool {
+	return ctx.Value(cameDuringStop{}) != nil && w.endsBefore(deadline)
+}
+
 // endsBefore tells whether running requests are ended before a time.
 func (w *work) endsBefore(t time.Time) bool {
 	endAt := w.endAt.Load()
