Tests of stops look at upstreams to tell a request that crossed a close

The test took only refused connections for requests that were not taken; it takes those now that no upstream has begun. A request that an upstream has begun and that ends without an answer fails the test as before. The test of late calls uses the same check.

--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -165,6 +165,7 @@
 
 // result is what a client sees.
 type result struct {
+	id     string
 	status int
 	header http.Header
 	body   string
@@ -184,11 +185,11 @@
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return result{err: err}
+		return result{id: id, err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return result{response.StatusCode, response.Header, string(data), err}
+	return result{id, response.StatusCode, response.Header, string(data), err}
 }
 
 // fakeUpstream is a plain HTTP server that counts what it runs.
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -263,9 +262,8 @@
 	statuses := map[int]int{}
 	for range sent {
 		got := <-results
-		var dial *net.OpError
-		if errors.As(got.err, &dial) && dial.Op == "dial" {
-			continue // after the node's end
+		if f.notTaken(got) {
+			continue
 		}
 		must.NoError(t, got.err)
 		must.SliceContains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status, must.Sprint(got.body))
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -46,10 +46,20 @@
 	}
 }
 
-// notListening tells that a request came after the node's end.
-func notListening(err error) bool {
-	var dial *net.OpError
-	return errors.As(err, &dial) && dial.Op == "dial"
+// notTaken tells that a request came after the node's end, or crossed the close of its connection: no upstream has
+// begun it.
+func (f *fleet) notTaken(got result) bool {
+	if got.err == nil {
+		return false
+	}
+	for _, n := range f.nodes {
+		for _, r := range n.upstream.ran() {
+			if r.Header.Get("Request-Id") == got.id {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // Guards against calls of running requests that a stopping node takes and cuts: all get an answer, or a refusal
@@ -70,7 +80,7 @@
 	statuses := map[int]int{}
 	for range sent {
 		got := <-results
-		if notListening(got.err) {
+		if f.notTaken(got) {
 			continue
 		}
 		must.NoError(t, got.err)
