Do not let an operator take back the draining of a stop

Callers saw: a cowslipd that was told to stop, and whose drain an operator ended meanwhile, took calls for its upstream again and had to end them.

Cause: a stop and an operator's drain share one flag.

Change: while the node stops, the flag stays set.

Before: TestStopIsNotTakenBackByOperator failed, "expected condition to be true; is false". After: it passes.

--- a/node/operator.go
+++ b/node/operator.go
@@ -70,8 +70,9 @@
 	return found[:min(limit, len(found))], nil
 }
 
-// SetDraining implements operator.Backend.
+// SetDraining implements operator.Backend. The draining of a stop does not end.
 func (n *Node) SetDraining(draining bool) int {
+	draining = draining || n.work.stopping()
 	n.local.setDraining(draining)
 	n.membership.setDraining(draining)
 	return n.running.count()
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -269,3 +269,12 @@
 	defer b.mu.Unlock()
 	return b.buffer.String()
 }
+
+// An operator who ended a drain made a stopping node take calls again that it would have had to end.
+func TestStopIsNotTakenBackByOperator(t *testing.T) {
+	f := newFleet(t, 1)
+	f.beginStop(t, 0, 3*time.Second)
+	node := f.nodes[0]
+	must.Eq(t, 0, node.SetDraining(false))
+	must.True(t, node.local.isDraining())
+}
