--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -361,3 +361,40 @@
 	must.Eq(t, 0, f.totalRuns())
 	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode) // nothing has run
 }
+
+// Late in a stop, a node still takes calls of its upstream that end before it does, and no calls of other nodes.
+func TestLateInStopOnlyOwnCallsAreTaken(t *testing.T) {
+	f := startFleet(t, 2, always(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			slow(4*time.Second)(w, r)
+			return
+		}
+		answer(w, r)
+	}))
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true)))
+	running := make(chan result, 1)
+	f.eventually(func() error { // keeps the node from ending early
+		if f.totalRuns() > 0 {
+			return nil
+		}
+		go func() {
+			running <- f.send(f.nodes[1], http.MethodPost, "/once/long/slow", "slow", "key-1", 10*time.Second)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		return errors.New("not running yet")
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].end() }()
+	time.Sleep(2800 * time.Millisecond) // after the time in which clients may not know of the stop
+
+	own := f.send(f.nodes[0], http.MethodGet, "/open/long/a", "own", "", 10*time.Second)
+	must.NoError(t, own.err)
+	must.Eq(t, http.StatusOK, own.status, must.Sprint(own.body))
+	runs := f.totalRuns()
+	other := f.send(f.nodes[1], http.MethodPost, "/once/a", "other", "key-1", time.Second)
+	must.NoError(t, other.err)
+	must.Eq(t, http.StatusServiceUnavailable, other.status, must.Sprint(other.body))
+	must.Eq(t, runs, f.totalRuns())
+	must.Eq(t, http.StatusOK, (<-running).status)
+	must.NoError(t, <-stopped)
+}
