Soak: a slow request of an old version is no use of a newer one

Cause: the route moved from s0 to s1 and back within 0.8 s. r288 was routed to s0 by version 1 and ran when version 3, which names s0 again, had come; the check took the newest version with that service for the one that was used.

Change: a use proves the oldest version from the last proven one on that names the service and has been sent. A process that goes back is found as before: TestCheckRollback has both, and its first case fails with the check before. No product code is changed.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -293,39 +293,29 @@
 	}
 	for process, uses := range processes {
 		sort.Slice(uses, func(i, j int) bool { return uses[i].run.at.Before(uses[j].run.at) })
-		seen, seenAt := 0, time.Time{}
+		seen, seenAt, seenBy := 0, time.Time{}, ""
 		for _, u := range uses {
-			// The newest version that was there when the request ran and names the service, and the oldest
-			// that does without an older one between.
-			newest, oldest := l.versions(u.run.service, u.run.at)
-			if newest < seen && u.sent.sentAt.After(seenAt.Add(p.Rollback)) {
-				l.violate("a configuration never reverts", u.sent.ID, "%s used version %d at most after %d", process, newest, seen)
+			version, ok := l.versionFrom(seen, u.run.service, u.run.at)
+			if !ok && u.sent.sentAt.After(seenAt.Add(p.Rollback)) {
+				l.violate("a configuration never reverts", u.sent.ID, "%s used %s, sent %v after %s had used version %d",
+					process, u.run.service, u.sent.sentAt.Sub(seenAt), seenBy, seen)
 			}
-			if oldest > seen {
-				seen, seenAt = oldest, u.run.at
+			if version > seen {
+				seen, seenAt, seenBy = version, u.run.at, u.sent.ID
 			}
 		}
 	}
 }
 
-// versions returns the newest version that may be in force and names a service for the moving route at a time, and the first of
-// the versions from which it has done so without a break.
-func (l *ledger) versions(service string, at time.Time) (newest, oldest int) {
-	for i := len(l.configs) - 1; i >= 0; i-- {
-		c := l.configs[i]
-		if c.begun.After(at) {
-			continue
-		}
-		switch {
-		case c.moved == service && newest == 0:
-			newest, oldest = c.version, c.version
-		case c.moved == service:
-			oldest = c.version
-		case newest != 0:
-			return newest, oldest
+// versionFrom returns the oldest version, not before one that was used, that names a service for the moving route and
+// was sent by a time. A request may run long after its node has chosen the service, so a newer one proves nothing.
+func (l *ledger) versionFrom(used int, service string, at time.Time) (version int, ok bool) {
+	for _, c := range l.configs {
+		if c.version >= used && c.moved == service && !c.begun.After(at) {
+			return c.version, true
 		}
 	}
-	return newest, oldest
+	return 0, false
 }
 
 // checkQuota counts the requests of each workspace that are both sent and run in a window, for every window,
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A process may send a request by version 1, which runs when version 3 has come, and then use version 2. It may not
+// go back to a version before one that it must have used.
+func TestCheckRollback(t *testing.T) {
+	type use struct {
+		service   string
+		sent, ran time.Duration
+	}
+	for name, test := range map[string]struct {
+		uses     []use
+		violated bool
+	}{
+		"slow request of an old version": {uses: []use{{"a", 900 * time.Millisecond, 2100 * time.Millisecond}, {"b", 2500 * time.Millisecond, 2500 * time.Millisecond}}},
+		"each in turn":                   {uses: []use{{"a", 0, 0}, {"b", time.Second, time.Second}, {"a", 2 * time.Second, 2 * time.Second}}},
+		"back to an older version": {violated: true, uses: []use{
+			{"a", 0, 0}, {"b", time.Second, time.Second}, {"a", 2 * time.Second, 2 * time.Second}, {"b", 3 * time.Second, 3 * time.Second},
+		}},
+		"before the version is sent": {violated: true, uses: []use{{"b", time.Second, time.Second}, {"a", 1500 * time.Millisecond, 1500 * time.Millisecond}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			l := newLedger()
+			for version, service := range []string{"a", "b", "a"} {
+				l.configs = append(l.configs, configuration{version: version + 1, moved: service, begun: start.Add(time.Duration(version) * time.Second)})
+			}
+			for i, u := range test.uses {
+				id := string(rune('1' + i))
+				l.requests[id] = &request{ID: id, node: &node{name: "n"}, incarnation: 1, moved: true, sentAt: start.Add(u.sent)}
+				l.runs[id] = []*run{{ID: id, service: u.service, at: start.Add(u.ran)}}
+			}
+			l.checkRollback(promises{Rollback: rollbackTime})
+			must.Eq(t, test.violated, len(l.found) > 0, must.Sprint(l.found))
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,7 @@
 // Seeds that have failed, with the cause.
 func TestSoakRegressions(t *testing.T) {
 	for seed, cause := range map[uint64]string{
+		3048: "a request that a node had sent by an old version ran when a newer one with the same service had come, which the check took for a use of that",
 		1013: "a node that was told to stop while clients kept coming ended with an error, which the check took for a crash",
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
