Soak: only a use before a request was sent bounds the version that it may use

Cause: uses were ordered by when they ran, and each bounded all that ran later.

Change: a use bounds the requests that were sent after it had run, with the tolerance as before. TestCheckRollback has the case, and still finds a process that goes back.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -279,6 +279,8 @@
 	type use struct {
 		sent *request
 		run  *run
+		// version is the oldest that the process must have used.
+		version int
 	}
 	processes := map[string][]use{}
 	for id, runs := range l.runs {
@@ -288,20 +290,22 @@
 		}
 		process := fmt.Sprintf("%s/%d", sent.node.name, sent.incarnation)
 		for _, r := range runs {
-			processes[process] = append(processes[process], use{sent, r})
+			processes[process] = append(processes[process], use{sent: sent, run: r})
 		}
 	}
 	for process, uses := range processes {
 		sort.Slice(uses, func(i, j int) bool { return uses[i].run.at.Before(uses[j].run.at) })
-		seen, seenAt, seenBy := 0, time.Time{}, ""
-		for _, u := range uses {
-			version, ok := l.versionFrom(seen, u.run.service, u.run.at)
-			if !ok && u.sent.sentAt.After(seenAt.Add(p.Rollback)) {
-				l.violate("a configuration never reverts", u.sent.ID, "%s used %s, sent %v after %s had used version %d",
-					process, u.run.service, u.sent.sentAt.Sub(seenAt), seenBy, seen)
+		for i := range uses {
+			u := &uses[i]
+			used, by := 0, ""
+			for _, earlier := range uses[:i] {
+				if earlier.version > used && u.sent.sentAt.After(earlier.run.at.Add(p.Rollback)) {
+					used, by = earlier.version, earlier.sent.ID
+				}
 			}
-			if version > seen {
-				seen, seenAt, seenBy = version, u.run.at, u.sent.ID
+			var ok bool
+			if u.version, ok = l.versionFrom(used, u.run.service, u.run.at); !ok {
+				l.violate("a configuration never reverts", u.sent.ID, "%s used %s, sent after %s had used version %d", process, u.run.service, by, used)
 			}
 		}
 	}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -19,7 +19,10 @@
 		violated bool
 	}{
 		"slow request of an old version": {uses: []use{{"a", 900 * time.Millisecond, 2100 * time.Millisecond}, {"b", 2500 * time.Millisecond, 2500 * time.Millisecond}}},
-		"each in turn":                   {uses: []use{{"a", 0, 0}, {"b", time.Second, time.Second}, {"a", 2 * time.Second, 2 * time.Second}}},
+		"slow request, sent before the new version was used": {uses: []use{
+			{"b", time.Second, time.Second}, {"a", 900 * time.Millisecond, 2100 * time.Millisecond}, {"b", 2500 * time.Millisecond, 2500 * time.Millisecond},
+		}},
+		"each in turn": {uses: []use{{"a", 0, 0}, {"b", time.Second, time.Second}, {"a", 2 * time.Second, 2 * time.Second}}},
 		"back to an older version": {violated: true, uses: []use{
 			{"a", 0, 0}, {"b", time.Second, time.Second}, {"a", 2 * time.Second, 2 * time.Second}, {"b", 3 * time.Second, 3 * time.Second},
 		}},
