--- a/peer/server.go
+++ b/peer/server.go
@@ -18,7 +18,7 @@
 	// Incarnation is the incarnation of this node that the sender addressed.
 	Incarnation uint64
 	Kind        Kind
-	// AbortBody ends a wait for the rest of the body. It is nil where calls come without reservation.
+	// AbortBody ends a wait for the rest of the body. Only an Acceptor sets it.
 	AbortBody func()
 }
 
