--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -66,10 +66,11 @@
 	endlessSlack = 900 * time.Millisecond
 )
 
-// sendEndless makes a request whose answer does not end. It must be cut, or refused when its head has not come by
-// the deadline.
-func (f *fleet) sendEndless(id string) {
+// sendEndless makes a request whose answer does not end, at an upstream that has just sent a heartbeat. It must be cut,
+// or refused when its head has not come by the deadline.
+func (f *fleet) sendEndless(id string, serving *fleetNode) {
 	f.t.Helper()
+	must.NoError(f.t, serving.node.Heartbeat(serving.beat(time.Now().UnixNano(), false)))
 	start := time.Now()
 	got := f.send(f.nodes[0], http.MethodPost, "/once/endless", id, "key-1", endlessTimeout)
 	must.Less(f.t, endlessTimeout+endlessSlack, time.Since(start))
@@ -92,7 +93,7 @@
 			head := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nInstance-Id: i-0\r\nResponse-Signature: signed\r\n"
 			f := startFleet(t, 1, always(pour(head+body.first, body.unit, &sent)))
 			for i := range 10 { // more than the slots
-				f.sendEndless(fmt.Sprint("id-", i))
+				f.sendEndless(fmt.Sprint("id-", i), f.nodes[0])
 			}
 			must.Eq(t, 10, f.totalRuns())
 			must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-whole", "key-1", time.Second).status)
@@ -126,7 +127,7 @@
 	f := startFleet(t, 2, always(pour(head+"Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", &sent)))
 	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(3, true)))
 	for i := range 10 { // more than the slots
-		f.sendEndless(fmt.Sprint("id-", i))
+		f.sendEndless(fmt.Sprint("id-", i), f.nodes[1])
 	}
 	must.Len(t, 10, f.nodes[1].upstream.ran())
 	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodPost, "/once/whole", "id-whole", "key-1", time.Second).status)
