httpserver: end the read deadline of a body with the body

Callers on a kept connection could get 499 or 503 (canceled) for requests that nobody had canceled. The read deadline that bounds a body stayed set while the request ran. net/http reads ahead on the connection meanwhile; when the deadline passes it cancels the context of the connection, and with it this request and all later ones. cowslipd sets such deadlines in caller, peer and upstream, cowslip-sidecar for bodies above 64 KiB and in peer.Acceptor. httpserver.Body clears the deadline when the body has been read, and sets none for requests without a body.

--- a/caller/server.go
+++ b/caller/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 )
 
 // RequestIDsPath is the URL path at which callers obtain request ids.
@@ -124,10 +125,10 @@
 	if refusal := call.CheckPath(r.URL.Path); refusal != nil {
 		return nil, refusal
 	}
+	body := httpserver.NewBody(w, r)
 	req := &Request{
-		SetBodyDeadline: func(deadline time.Time) error {
-			return http.NewResponseController(w).SetReadDeadline(deadline)
-		},
+		SetBodyDeadline: body.SetDeadline,
+
 		RequestID:     r.Header.Get(call.HeaderRequestID),
 		Method:        r.Method,
 		Target:        r.URL.RequestURI(),
@@ -136,7 +137,7 @@
 		ContentLength: r.ContentLength,
 	}
 	if r.ContentLength != 0 {
-		req.Body = http.MaxBytesReader(w, r.Body, s.maxBodyBytes)
+		req.Body = http.MaxBytesReader(w, body, s.maxBodyBytes)
 	}
 	if value := r.Header.Get(call.HeaderTimeout); value != "" {
 		ms, err := strconv.ParseInt(value, 10, 64)
--- /dev/null
+++ b/internal/httpserver/body.go
@@ -0,0 +1,54 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Body is a request body whose read deadline ends with it.
+//
+// While a handler runs, net/http reads ahead on the connection. If a read deadline passes during that time,
+// net/http cancels the contexts of the running request and of all later requests on the connection.
+type Body struct {
+	io.ReadCloser
+	setReadDeadline func(time.Time) error
+
+	mu    sync.Mutex
+	ended bool
+}
+
+// NewBody returns the body of a request that w answers, without a deadline.
+func NewBody(w http.ResponseWriter, r *http.Request) *Body {
+	return &Body{ReadCloser: r.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline, ended: r.ContentLength == 0}
+}
+
+// SetDeadline sets the time after which reads fail. It has no effect once the body has been read.
+func (b *Body) SetDeadline(t time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return nil
+	}
+	return b.setReadDeadline(t)
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end()
+	}
+	return n, err
+}
+
+func (b *Body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		b.ended = true
+		_ = b.setReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
+}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	callv1 "github.com/cowslipglade/cowslipglade/rpc/call/v1"
 )
 
@@ -264,12 +265,13 @@
 	incoming.Header = http.Header{}
 	call.CopyHeader(incoming.Header, r.Header)
 	incoming.Host = r.Host
-	incoming.Body = r.Body
+	body := httpserver.NewBody(w, r)
+	incoming.Body = body
 	incoming.ContentLength = r.ContentLength
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(incoming.Deadline.Add(deadlineGrace))
+	_ = body.SetDeadline(incoming.Deadline.Add(deadlineGrace))
 	incoming.AbortBody = func() {
-		_ = controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
+		_ = body.SetDeadline(time.Now()) // fails only if the connection is closed
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), incoming.Deadline)
 	defer cancel()
@@ -299,8 +301,8 @@
 			// The sender terminates the body that it withheld. Without this, net/http would read the
 			// terminating chunk after it has stopped its background read of the connection, and panic.
 			_ = controller.Flush()
-			_ = controller.SetReadDeadline(time.Now().Add(deadlineGrace))
-			_, _ = io.Copy(io.Discard, r.Body)
+			_ = body.SetDeadline(time.Now().Add(deadlineGrace))
+			_, _ = io.Copy(io.Discard, body)
 		}
 		return
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
 )
 
@@ -57,11 +58,12 @@
 	incoming.Header = http.Header{}
 	call.CopyHeader(incoming.Header, r.Header)
 	restoreHeaders(incoming.Header)
-	incoming.Body = r.Body
+	body := httpserver.NewBody(w, r)
+	incoming.Body = body
 	incoming.ContentLength = r.ContentLength
 	// http.Transport returns only after its last read of the body has returned, so a peer that stops sending
 	// in the middle of a body would occupy an upstream slot forever. An httptest.ResponseRecorder has no deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(incoming.Deadline.Add(deadlineGrace))
+	_ = body.SetDeadline(incoming.Deadline.Add(deadlineGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), incoming.Deadline)
 	defer cancel()
 	response, err := s.handler.HandlePeer(ctx, incoming)
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/keys"
 	"github.com/cowslipglade/cowslipglade/quarantine"
@@ -134,25 +135,20 @@
 }
 
 // readBody reads the request body, buffering it in memory if it fits. Reading is bounded by the deadline and
-// by the abort time of a shutdown. Once the body is buffered, the read deadline is cleared, because net/http
-// would otherwise treat its expiry as a client disconnect.
+// by the abort time of a shutdown.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*call.ReplayBody, error) {
 	if r.ContentLength == 0 {
 		return call.NewReplayBody(&call.Request{})
 	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
+	body := httpserver.NewBody(w, r)
+	if err := body.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
 	stopAbort := context.AfterFunc(n.runCtx, func() {
-		_ = controller.SetReadDeadline(time.Now()) // fails only if the connection is already closed
+		_ = body.SetDeadline(time.Now()) // fails only if the connection is already closed
 	})
-	body, err := call.NewReplayBody(&call.Request{Body: r.Body, ContentLength: r.ContentLength})
-	stopAbort()
-	if err == nil && body.Buffered() {
-		err = controller.SetReadDeadline(time.Time{})
-	}
-	return body, err
+	defer stopAbort()
+	return call.NewReplayBody(&call.Request{Body: body, ContentLength: r.ContentLength})
 }
 
 // admit determines the route and workspace of a request and sets its deadline.
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
+	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 )
 
 // AnnouncePath is the URL path to which an upstream sends its announcement, once a second.
@@ -129,10 +130,10 @@
 		httpresponse.WriteRefusal(w, refusal, "")
 		return nil
 	}
+	body := httpserver.NewBody(w, r)
 	req := &DownstreamCall{
-		SetBodyDeadline: func(deadline time.Time) error {
-			return http.NewResponseController(w).SetReadDeadline(deadline)
-		},
+		SetBodyDeadline: body.SetDeadline,
+
 		Token:         r.Header.Get(call.HeaderCall),
 		Method:        r.Method,
 		Target:        r.URL.RequestURI(),
@@ -141,7 +142,7 @@
 		ContentLength: r.ContentLength,
 	}
 	if r.ContentLength != 0 {
-		req.Body = r.Body
+		req.Body = body
 	}
 	call.CopyHeader(req.Header, r.Header)
 	delete(req.Header, "Authorization")
