balance: keep slow calls in their failure domain

Cause: the picker adds noise of up to a tenth of the expected latency to each cost, and the penalty for another failure domain is a constant 4 ms. For calls of 80 ms and more the noise outweighs it, so they were spread over all domains alike.

Change: three tenths of the expected latency are added for other domains, so that calls leave only for an upstream that is expected to be clearly faster. One call in twenty disregards that, to learn how fast the others are.

--- a/balance/latency.go
+++ b/balance/latency.go
@@ -17,6 +17,10 @@
 	// domain and in another region.
 	DomainPenalty time.Duration
 	RegionPenalty time.Duration
+	// DomainPenaltyFraction is multiplied by the expected latency and added for upstreams in another failure domain.
+	// It exceeds the noise, so that calls leave their domain only for an upstream that is expected to be clearly
+	// faster.
+	DomainPenaltyFraction float64
 	// KiBPenalty is added for each KiB that would cross a failure domain boundary.
 	KiBPenalty time.Duration
 	// SampleWeight is the weight of one call in the moving averages.
@@ -50,22 +54,24 @@
 // DefaultLatencyConfig returns the configuration used by cowslip-sidecar.
 func DefaultLatencyConfig() LatencyConfig {
 	return LatencyConfig{
-		SubsetSize:          20,                      // bounds the state per service, as in DefaultConfig
-		DomainPenalty:       4 * time.Millisecond,    // two round trips between domains of 1 ms each way
-		RegionPenalty:       50 * time.Millisecond,   // two round trips between regions of 12 ms each way
-		KiBPenalty:          4 * time.Millisecond,    // a 60 KiB upload leaves its domain only to save 0.25 s
-		SampleWeight:        0.1,                     // about the last ten calls
-		AverageDecayTime:    4 * time.Second,         // a disturbance of a few seconds has ended by then
-		KneeLoad:            0.8,                     // queueing is negligible below it with ten slots or more
-		FailurePenalty:      1500 * time.Millisecond, // the usual target latency, which a failed call misses
-		FailureDecayTime:    2 * time.Second,         // the length of the shortest relevant disturbance
-		ShedPenalty:         300 * time.Millisecond,  // above any latency difference between upstreams
-		SignalLifetime:      500 * time.Millisecond,  // as in DefaultConfig
-		UnreachableTime:     500 * time.Millisecond,  // about the restart time of a process
-		MaxUnreachableTime:  2 * time.Second,         // costs one failed call in 2 s per service and node
-		DomainSuspicionTime: time.Second,             // two rounds of the failure detector
-		SuspicionPenalty:    150 * time.Millisecond,  // the cost of a failed connection
-		StoppingPenalty:     time.Second,             // above any cost difference between working upstreams
+		SubsetSize:    20,                    // bounds the state per service, as in DefaultConfig
+		DomainPenalty: 4 * time.Millisecond,  // two round trips between domains of 1 ms each way
+		RegionPenalty: 50 * time.Millisecond, // two round trips between regions of 12 ms each way
+
+		DomainPenaltyFraction: 0.3,                     // an upstream at its knee is expected to be slower by more
+		KiBPenalty:            4 * time.Millisecond,    // a 60 KiB upload leaves its domain only to save 0.25 s
+		SampleWeight:          0.1,                     // about the last ten calls
+		AverageDecayTime:      4 * time.Second,         // a disturbance of a few seconds has ended by then
+		KneeLoad:              0.8,                     // queueing is negligible below it with ten slots or more
+		FailurePenalty:        1500 * time.Millisecond, // the usual target latency, which a failed call misses
+		FailureDecayTime:      2 * time.Second,         // the length of the shortest relevant disturbance
+		ShedPenalty:           300 * time.Millisecond,  // above any latency difference between upstreams
+		SignalLifetime:        500 * time.Millisecond,  // as in DefaultConfig
+		UnreachableTime:       500 * time.Millisecond,  // about the restart time of a process
+		MaxUnreachableTime:    2 * time.Second,         // costs one failed call in 2 s per service and node
+		DomainSuspicionTime:   time.Second,             // two rounds of the failure detector
+		SuspicionPenalty:      150 * time.Millisecond,  // the cost of a failed connection
+		StoppingPenalty:       time.Second,             // above any cost difference between working upstreams
 	}
 }
 
@@ -79,6 +85,8 @@
 	Exclude []ID
 }
 
+	// explore disregards DomainPenaltyFraction.
+	explore bool
 // LatencyResult is the feedback of one call.
 type LatencyResult struct {
 	Outcome Outcome
@@ -204,6 +212,9 @@
 	kib := (float64(query.Bytes) + s.sizes[query.Route]) / 1024
 	best := s.best(p, query, kib, now, random, false)
 	if best == nil {
+	if random.Float64() < explorationFraction {
+		query.explore = true
+	}
 		best = s.best(p, query, kib, now, random, true)
 	}
 	if best == nil {
@@ -256,6 +267,9 @@
 	maxCostNoise = 0.1
 	// coldFactor multiplies the expected latency of an upstream that is warming up.
 	coldFactor = 2
+	// explorationFraction is the fraction of calls that may leave the failure domain for an upstream that is not
+	// expected to be faster. It finds out which ones are.
+	explorationFraction = 0.05
 )
 
 // lowestAverage returns the lowest average latency of a route in seconds, or 0 when there is none.
@@ -293,10 +307,14 @@
 	cost += u.failures * decay(now.Sub(u.failuresAt), config.FailureDecayTime) * config.FailurePenalty.Seconds()
 	switch u.tier {
 	case localDomain:
+	remoteFraction := config.DomainPenaltyFraction
+	if query.explore {
+		remoteFraction = 0
+	}
 	case localRegion:
-		cost += config.DomainPenalty.Seconds() + kib*config.KiBPenalty.Seconds()
+		cost += config.DomainPenalty.Seconds() + remoteFraction*baseline + kib*config.KiBPenalty.Seconds()
 	default:
-		cost += config.RegionPenalty.Seconds() + kib*config.KiBPenalty.Seconds()
+		cost += config.RegionPenalty.Seconds() + remoteFraction*baseline + kib*config.KiBPenalty.Seconds()
 	}
 	return cost
 }
--- a/balance/latency_test.go
+++ b/balance/latency_test.go
@@ -72,6 +72,12 @@
 	must.Greater(t, 900, f.run(t, 1000, 60<<10, latencies(200, 50, 50))["n0"])
 }
 
+// Slow calls stay in their domain too: noise in proportion to their latency must not spread them over all domains.
+func TestLatencyPickerKeepsSlowCallsLocal(t *testing.T) {
+	f := newLatencyFixture()
+	must.Greater(t, 900, f.run(t, 1000, 0, latencies(1300, 1300, 1200))["n0"])
+}
+
 // An upstream that fails gets few calls until it recovers.
 func TestLatencyPickerAvoidsFailures(t *testing.T) {
 	f := newLatencyFixture()
