Send fewer bytes and make fewer store calls in large fleets

Every exchange carried 90 workspaces, most of them all zeros, and the sender's registration; each node watched the registry every 2 s, read the configuration when it was a second old, and polled for the first one.

Change: - share messages leave out workspaces in which the sender has neither share nor demand; a digest of the names tells the receiver that it knows them - registrations are sent until the peer knows them - one node of each failure domain, the first by name, reads the store at the usual pace. The others learn from it in exchanges and read when what they know is older than that, still within the operators' limits - fleets that need several rounds for a cycle keep half of their exchanges within the failure domain

A mixed fleet during an upgrade: nodes of the older build see missing entries as unknown and move no share to or from the newer ones until they are replaced.

--- a/ratelimit/epoch.go
+++ b/ratelimit/epoch.go
@@ -69,7 +69,7 @@
 func (s *Shares) snapshotSum(workspace string, b *shareBucket) (sum float64, known bool) {
 	sum = b.snapshotShare
 	for _, m := range s.members {
-		entry, ok := m.entries[workspace]
+		entry, ok := s.entryOf(m, workspace)
 		if !ok {
 			return 0, false
 		}
--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -31,7 +31,20 @@
 	// epoch and that it can no longer change.
 	Epoch         uint64
 	SnapshotFinal bool
-	Entries       []ShareEntry
+	// Workspaces is a digest of the names of all workspaces that the sender knows. Entries leaves out those in
+	// which the sender has neither share nor demand, which in a large fleet are most of them.
+	Workspaces uint64
+	Entries    []ShareEntry
+}
+
+// minReportedDemand is the demand in requests per second below which a node reports none. It is what remains of
+// a single request after a few time constants.
+const minReportedDemand = 0.02
+
+// empty reports whether a receiver that assumes zeros knows the same as from the entry.
+func (e *ShareEntry) empty() bool {
+	return e.Demand < minReportedDemand && e.Share == 0 && e.Transfer == 0 && e.ReceiverShare == 0 && e.SnapshotShare == 0 &&
+		e.Scale == 0 && e.Tokens == 0
 }
 
 // PrepareMessage returns the message to send to another node. Share that the message transfers is deducted from
@@ -43,7 +56,7 @@
 	m := s.members[to]
 	message := ShareMessage{
 		Joined: s.joined, HasReceiverShares: s.knowsShareOf(m, now),
-		Epoch: s.epoch, SnapshotFinal: to == s.coordinator && s.snapshotFinal(now),
+		Epoch: s.epoch, SnapshotFinal: to == s.coordinator && s.snapshotFinal(now), Workspaces: s.workspacesDigest,
 	}
 	for name, b := range s.workspaces {
 		b.updateDemand(&s.config, now)
@@ -53,23 +66,33 @@
 			entry.SnapshotShare = b.snapshotShare
 		}
 		if m != nil {
-			known, hasEntry := m.entries[name]
+			known, isKnown := s.entryOf(m, name)
 			if message.HasReceiverShares {
 				entry.ReceiverShare = known.Share
 			}
-			if hasEntry && s.joined && m.joined && now.Sub(m.lastContact) < s.reportLifetime() {
+			if isKnown && s.joined && m.joined && now.Sub(m.lastContact) < s.reportLifetime() {
 				entry.Transfer = s.transferAmount(b, to, known)
 				b.share -= entry.Transfer
-				known.Share += entry.Transfer // so that the next message does not transfer it again
-				m.entries[name] = known
+				if entry.Transfer != 0 {
+					known.Share += entry.Transfer // so that the next message does not transfer it again
+					m.entries[name] = known
+				}
 			}
 		}
 		entry.Share = b.share
-		message.Entries = append(message.Entries, entry)
+		if !entry.empty() {
+			message.Entries = append(message.Entries, entry)
+		}
 	}
 	return message
 }
 
+// entryOf returns the last reported entry of a member, and false if the member may not know the workspace.
+func (s *Shares) entryOf(m *memberState, workspace string) (ShareEntry, bool) {
+	entry, ok := m.entries[workspace]
+	return entry, ok || m.workspaces == s.workspacesDigest
+}
+
 // knowsShareOf reports whether this node knows what share a member without shares held before. A node that has
 // only just recovered its own share has not exchanged messages with all others yet; it would report a share of
 // zero for members whose share another node knows.
@@ -139,6 +162,7 @@
 		return
 	}
 	m.lastContact, m.joined, m.epoch, m.snapshotFinal = now, message.Joined, message.Epoch, message.SnapshotFinal
+	m.workspaces = message.Workspaces
 	if message.Joined {
 		m.hasReported = true
 		clear(m.entries) // drops workspaces that the node does not know (any more)
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // SharesConfig configures Shares.
@@ -12,6 +14,9 @@
 	// Fanout is the number of exchanges that a node initiates per round. A larger fleet is covered in a cycle
 	// of several rounds, in which each pair of nodes exchanges messages once.
 	Fanout int
+	// RemoteFanout is the part of Fanout that goes to nodes in other failure domains where a cycle takes several
+	// rounds, because bytes between failure domains are expensive.
+	RemoteFanout int
 	// RoundInterval is the time between two rounds of exchanges.
 	RoundInterval time.Duration
 	// ReportLifetimeCycles is the number of cycles for which a report of another node is considered fresh.
@@ -43,6 +48,7 @@
 	return SharesConfig{
 		DemandTimeConstant:   2 * time.Second,        // spans a few requests of a client that sends one per second
 		Fanout:               8,                      // covers 17 nodes per round, at about 0.2 ms of CPU time each
+		RemoteFanout:         4,                      // covers 84 nodes in 3 to 5 domains within 5 s
 		RoundInterval:        500 * time.Millisecond, // changes propagate through a fleet in about one second
 		ReportLifetimeCycles: 3,                      // tolerates the loss of one exchange
 		SnapshotSettleTime:   800 * time.Millisecond, // twice the timeout of an exchange
@@ -80,7 +86,9 @@
 	membersKnown bool
 	inheritedAt  time.Time // when another node reported this node's share; zero after joining with an even share
 	workspaces   map[string]*shareBucket
-	members      map[string]*memberState
+	// workspacesDigest identifies the set of names in workspaces.
+	workspacesDigest uint64
+	members          map[string]*memberState
 	// cycleRounds is the number of rounds that cover the fleet once.
 	cycleRounds int
 	// coordinator is the node with the lowest name. It adds up the shares.
@@ -97,7 +105,9 @@
 	hasReported   bool // has reported its share since this node's start
 	epoch         uint64
 	snapshotFinal bool
-	entries       map[string]ShareEntry
+	// workspaces is the digest of the workspaces that the node knows; those without an entry are zero there.
+	workspaces uint64
+	entries    map[string]ShareEntry
 }
 
 type shareBucket struct {
@@ -140,8 +150,12 @@
 	members := make(map[string]*memberState, len(others))
 	changed := len(others) != len(s.members)
 	s.coordinator = s.self.Name
+	remote := 0
 	for _, member := range others {
 		s.coordinator = min(s.coordinator, member.Name)
+		if member.FailureDomain != s.self.FailureDomain {
+			remote++
+		}
 		m := s.members[member.Name]
 		if m == nil {
 			m = &memberState{Member: member, entries: map[string]ShareEntry{}}
@@ -155,8 +169,29 @@
 			b.holders = nil
 		}
 	}
-	// In each pair of nodes only one initiates the exchange.
-	s.cycleRounds = max(1, (len(others)/2+s.config.Fanout-1)/s.config.Fanout)
+	s.cycleRounds = s.config.rounds(len(others)-remote, remote)
+}
+
+// rounds returns the number of rounds in which a node exchanges messages with all others. In each pair of nodes
+// only one initiates the exchange.
+func (c *SharesConfig) rounds(local, remote int) int {
+	if c.coversInOneRound(local + remote) {
+		return 1
+	}
+	return max(1, ceilDiv(local/2, c.Fanout-c.RemoteFanout), ceilDiv(remote/2, c.RemoteFanout))
+}
+
+func (c *SharesConfig) coversInOneRound(others int) bool { return others/2 <= c.Fanout }
+
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
+
+// Partners returns how many nodes of its own failure domain, and how many others, a node should contact per round
+// in a fleet with the given number of others.
+func (c *SharesConfig) Partners(others int) (local, remote int) {
+	if c.coversInOneRound(others) {
+		return c.Fanout, c.Fanout
+	}
+	return c.Fanout - c.RemoteFanout, c.RemoteFanout
 }
 
 // CycleDuration returns the time in which a node should exchange messages with every other node.
@@ -176,12 +211,14 @@
 func (s *Shares) SetWorkspaces(quotas map[string]Quota, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.workspacesDigest = 0
 	for name := range s.workspaces {
 		if _, ok := quotas[name]; !ok {
 			delete(s.workspaces, name)
 		}
 	}
 	for name, quota := range quotas {
+		s.workspacesDigest ^= xxhash.Sum64String(name)
 		b := s.workspaces[name]
 		if b == nil {
 			b = &shareBucket{refilledAt: now, demandAt: now}
--- a/ratelimit/shares_test.go
+++ b/ratelimit/shares_test.go
@@ -594,3 +594,25 @@
 	s.SetWorkspaces(nil, now)
 	must.SliceEmpty(t, s.PrepareMessage("b", now.Add(time.Second)).Entries)
 }
+
+// In a large fleet a message carries only the workspaces in which its sender has share or demand, and share still
+// moves to a node that reported none.
+func TestSharesMessagesLeaveOutEmptyEntries(t *testing.T) {
+	f := newSharesFleet(84, Quota{Rate: 35, Burst: 43})
+	f.fanout = 8
+	random := rand.New(rand.NewPCG(11, 12))
+	for i := range 100 {
+		f.runRound(random, i, nil)
+	}
+	withEntry := 0
+	for i, name := range f.names {
+		withEntry += len(f.nodes[name].PrepareMessage(f.names[(i+1)%len(f.names)], f.now).Entries)
+	}
+	must.Between(t, 1, withEntry, 15)
+	last := f.names[len(f.names)-1]
+	for i := range 200 {
+		f.runRound(random, i, map[string]float64{last: 20})
+	}
+	must.Greater(t, 0.3, f.nodes[last].workspaces["w"].share)
+	must.Between(t, 0.97, f.totalShare(), 1.02)
+}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -17,6 +17,14 @@
 	// usual 2 s within which a change must be in force. Reads by other nodes count, because gossip relays
 	// the age.
 	maxConfigurationRefreshAge = time.Second
+	// readerRefreshFactor keeps the reader's reads within the refresh age despite jitter; nonReaderRefreshFactor
+	// lets the others read only when the exchanges with it are late. Together with the jitter the age stays
+	// below three quarters of the time within which a change must be in force.
+	readerRefreshFactor    = 0.8
+	nonReaderRefreshFactor = 1.45
+	// firstConfigurationWait is the time between two reads of a configuration that operators have not written yet, at
+	// nodes that are not readers. Exchanges with the reader bring it sooner.
+	firstConfigurationWait = 4 * time.Second
 	// storeTimeout bounds a store call; a slow store takes about 250 ms.
 	storeTimeout = time.Second
 	// maxWithdrawalMargin is subtracted from the operators' time limit for withdrawn keys, to allow for
@@ -138,7 +146,11 @@
 		}
 		monitor.report(err)
 		if err != nil || c.current.Load() == nil {
-			clock.Sleep(ctx, retry.failed())
+			wait := retry.failed()
+			if err == nil && !c.node.registry.isReader() {
+				wait = jittered(firstConfigurationWait)
+			}
+			clock.Sleep(ctx, wait)
 			continue
 		}
 		retry.succeeded()
@@ -151,7 +163,11 @@
 	if !ok {
 		return 0
 	}
-	return jittered(c.node.settings().configurationRefreshAge()) - age
+	refreshAge := c.node.settings().configurationRefreshAge()
+	if !c.node.registry.isReader() {
+		refreshAge = time.Duration(float64(refreshAge) * nonReaderRefreshFactor)
+	}
+	return time.Duration(float64(jittered(refreshAge))*readerRefreshFactor) - age
 }
 
 // dependencyMonitor logs when a dependency of the node becomes unavailable and available again.
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -52,6 +52,9 @@
 	revision    int64
 	// marksSent is the sequence number of the last crash mark change that the peer has received.
 	marksSent uint64
+	// knownIncarnation and knownSequence identify the registration of this node that the peer knows.
+	knownIncarnation uint64
+	knownSequence    int64
 }
 
 func newGossip(n *Node) *gossip {
@@ -116,10 +119,11 @@
 	}
 }
 
-// targets returns the nodes to contact in this round, least recently contacted first. Of each pair, one node
-// initiates the exchange; the other does so only if no exchange has taken place for two share cycles.
+// targets returns the nodes to contact in this round, least recently contacted first. In a large fleet, those of
+// other failure domains have their turn less often. Of each pair, one node initiates the exchange; the other does
+// so only if no exchange has taken place for two share cycles.
 func (g *gossip) targets() []Registration {
-	self := g.node.settings().Node
+	self := g.node.settings()
 	others := g.node.registry.others()
 	overdue := 2 * g.node.shares.CycleDuration()
 	now := time.Now()
@@ -129,7 +133,7 @@
 	due := make([]Registration, 0, len(others))
 	for _, other := range others {
 		known[other.Node] = true
-		if p := g.peer(other.Node); initiatesExchange(self, other.Node) || now.Sub(p.lastContact) > overdue {
+		if p := g.peer(other.Node); initiatesExchange(self.Node, other.Node) || now.Sub(p.lastContact) > overdue {
 			due = append(due, other)
 		}
 	}
@@ -141,11 +145,22 @@
 	slices.SortFunc(due, func(a, b Registration) int {
 		return g.peers[a.Node].lastExchange().Compare(g.peers[b.Node].lastExchange())
 	})
-	due = due[:min(maxGossipTargets, len(due))]
+	config := sharesConfig()
+	local, remote := config.Partners(len(others))
+	targets := make([]Registration, 0, maxGossipTargets)
 	for _, target := range due {
+		left := &remote
+		if target.FailureDomain == self.FailureDomain {
+			left = &local
+		}
+		if *left == 0 || len(targets) == maxGossipTargets {
+			continue
+		}
+		*left--
 		g.peers[target.Node].lastAttempt = now
+		targets = append(targets, target)
 	}
-	return due
+	return targets
 }
 
 // lastExchange returns when either side last attempted an exchange.
@@ -233,6 +248,8 @@
 		state.Configuration = n.configuration.current.Load().raw
 	}
 	after := p.marksSent
+	self := n.registry.registration()
+	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
 		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
@@ -245,7 +262,11 @@
 			Fingerprint: m.Fingerprint, Crash: uint64(m.Crash), UnixMs: m.At.UnixMilli(), Weak: m.Weak, Cleared: m.Cleared,
 		})
 	}
-	registration, err := json.Marshal(n.registry.registration())
+	state.KnownIncarnation, state.KnownSequence = n.registry.known(peer)
+	if registrationKnown {
+		return state, last
+	}
+	registration, err := json.Marshal(self)
 	if err != nil {
 		n.log.event("gossip_failed").Err(err).Msg("cannot encode registration")
 	}
@@ -257,16 +278,19 @@
 func (g *gossip) merge(state *gossipv1.State, startedAt time.Time) {
 	n := g.node
 	now := time.Now()
-	var reg Registration
-	if err := json.Unmarshal(state.Registration, &reg); err != nil || reg.Node != state.Node {
-		n.log.event("gossip_rejected").Str("peer", state.Node).AnErr("error", err).Msg("invalid peer state ignored")
-		return
+	if len(state.Registration) > 0 || state.Node == "" {
+		var reg Registration
+		if err := json.Unmarshal(state.Registration, &reg); err != nil || reg.Node != state.Node {
+			n.log.event("gossip_rejected").Str("peer", state.Node).AnErr("error", err).Msg("invalid peer state ignored")
+			return
+		}
+		n.registry.update(reg, false)
 	}
-	n.registry.update(reg, false)
 	g.mu.Lock()
 	p := g.peer(state.Node)
 	recovered := p.failures >= unreachableFailures
 	p.lastContact, p.failures, p.revision = now, 0, state.ConfigurationRevision
+	p.knownIncarnation, p.knownSequence = state.KnownIncarnation, state.KnownSequence
 	g.mu.Unlock()
 	if recovered {
 		n.picker.SetReachable(state.Node, true, now)
@@ -287,21 +311,6 @@
 	n.quarantine.Merge(marks, now)
 }
 
-// applyConfiguration applies a newer configuration from a peer, or the age of the peer's configuration if
-// the revision is the same.
-func (g *gossip) applyConfiguration(state *gossipv1.State, startedAt time.Time) {
-	if state.ConfigurationAgeUs < 0 {
-		return
-	}
-	at := startedAt.Add(-time.Duration(state.ConfigurationAgeUs) * time.Microsecond)
-	if len(state.Configuration) > 0 && state.ConfigurationRevision > g.node.configuration.revision() {
-		if err := g.node.configuration.update(state.Configuration, at, "peer "+state.Node); err != nil {
-			g.node.log.event("configuration_rejected").Str("from", state.Node).Err(err).Msg("invalid peer configuration ignored")
-		}
-		return
-	}
-	g.node.configuration.confirm(state.ConfigurationRevision, at)
-}
 // encodeLimits adds the limits of overloaded services to the state of an exchange.
 func encodeLimits(state *gossipv1.State, limits []call.ServiceLimit) {
 	for _, l := range limits {
@@ -320,3 +329,18 @@
 	return limits
 }
 
+// applyConfiguration applies a newer configuration from a peer, or the age of the peer's configuration if
+// the revision is the same.
+func (g *gossip) applyConfiguration(state *gossipv1.State, startedAt time.Time) {
+	if state.ConfigurationAgeUs < 0 {
+		return
+	}
+	at := startedAt.Add(-time.Duration(state.ConfigurationAgeUs) * time.Microsecond)
+	if len(state.Configuration) > 0 && state.ConfigurationRevision > g.node.configuration.revision() {
+		if err := g.node.configuration.update(state.Configuration, at, "peer "+state.Node); err != nil {
+			g.node.log.event("configuration_rejected").Str("from", state.Node).Err(err).Msg("invalid peer configuration ignored")
+		}
+		return
+	}
+	g.node.configuration.confirm(state.ConfigurationRevision, at)
+}
--- a/sidecar/operations_test.go
+++ b/sidecar/operations_test.go
@@ -48,3 +48,18 @@
 	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "stale-1", `"code":"stale_configuration"`, `"configuration_age_ms"`))
 	must.SliceNotEmpty(t, f.logs.find(`"event":"dependency"`, `"name":"store"`, `"outcome":"lost"`))
 }
+
+// A node that is not the reader of its failure domain applies a change in time when the readers are gone.
+func TestConfigurationAppliesWithoutReader(t *testing.T) {
+	f := startFleet(t, 3, sameHandler(respond))
+	for _, reader := range f.nodes[:2] {
+		reader.node.Close()
+	}
+	last := f.nodes[2]
+	f.configure(2, `"key-1","key-2"`, 1000)
+	changed := time.Now()
+	for i := 0; f.send(last, http.MethodGet, "/read/a", fmt.Sprint("r", i), "key-2", time.Second).status != http.StatusOK; i++ {
+		must.Less(t, last.settings.ConfigApplyTime, time.Since(changed))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -27,11 +27,14 @@
 	watchTimeout = 15 * time.Second
 	// watchDelayPerNode is multiplied by the number of nodes to give the delay between two watches. It
 	// batches changes that occur together, because each watch response costs one call per node; all watches
-	// together make at most 50 calls per second.
-	watchDelayPerNode = 20 * time.Millisecond
-	// maxWatchDelay bounds the delay between two watches to the time within which lapsed entries are
-	// restored.
-	maxWatchDelay = 2 * time.Second
+	// together make about 10 calls per second. Nodes announce changes to each other meanwhile.
+	watchDelayPerNode = 100 * time.Millisecond
+	// maxWatchDelay bounds that delay to less than half of the history that a store keeps, 20 s.
+	maxWatchDelay = 8 * time.Second
+	// readerWatchDelayPerNode and maxReaderWatchDelay apply to readers, which restore lapsed entries and the
+	// shares of departed nodes within that time.
+	readerWatchDelayPerNode = 20 * time.Millisecond
+	maxReaderWatchDelay     = 2 * time.Second
 	// lapsedEntryGrace is how long a node is kept after its entry has lapsed without the node departing.
 	// Leases may lapse while the store is unavailable, and entries are restored within about two seconds.
 	lapsedEntryGrace = 3 * time.Second
@@ -222,9 +225,6 @@
 	return ""
 }
 
-// applyMembership passes membership changes to the picker and the quota shares.
-func (r *registry) applyMembership() {
-	r.mu.Lock()
 // known returns the incarnation and sequence of the registration that this node knows of another, or zeros.
 func (r *registry) known(node string) (incarnation uint64, sequence int64) {
 	r.mu.Lock()
@@ -245,6 +245,9 @@
 	return ""
 }
 
+// applyMembership passes membership changes to the picker and the quota shares.
+func (r *registry) applyMembership() {
+	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.dirty {
 		return
@@ -314,9 +317,28 @@
 
 // watchDelay returns the delay between two watches.
 func (r *registry) watchDelay() time.Duration {
+	reader := r.isReader()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	nodes := time.Duration(len(r.members) + 1)
+	if reader {
+		return min(maxReaderWatchDelay, nodes*readerWatchDelayPerNode)
+	}
+	return min(maxWatchDelay, nodes*watchDelayPerNode)
+}
+
+// isReader reports whether this node reads the store for its failure domain. The others learn from it in
+// exchanges, and read themselves when what they know is older than it should be.
+func (r *registry) isReader() bool {
+	settings := r.node.settings()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return min(maxWatchDelay, time.Duration(len(r.members)+1)*watchDelayPerNode)
+	for name, m := range r.members {
+		if m.FailureDomain == settings.FailureDomain && name < settings.Node && !m.Stopping {
+			return false
+		}
+	}
+	return true
 }
 
 func (r *registry) list(ctx context.Context) (int64, error) {
--- a/sidecar/shares.go
+++ b/sidecar/shares.go
@@ -8,15 +8,19 @@
 
 // newShares returns the quota shares of a node, which are transferred in gossip exchanges.
 func newShares(settings *Settings) *ratelimit.Shares {
+	return ratelimit.NewShares(ratelimit.Member{Name: settings.Node, FailureDomain: settings.FailureDomain}, sharesConfig())
+}
+
+func sharesConfig() ratelimit.SharesConfig {
 	config := ratelimit.DefaultSharesConfig()
 	config.Fanout, config.RoundInterval = maxGossipTargets, gossipInterval
-	return ratelimit.NewShares(ratelimit.Member{Name: settings.Node, FailureDomain: settings.FailureDomain}, config)
+	return config
 }
 
 // encodeShares adds a share message to the state of an exchange.
 func encodeShares(state *gossipv1.State, message ratelimit.ShareMessage) {
 	state.SharesJoined, state.SharesRemembered = message.Joined, message.HasReceiverShares
-	state.SharesEpoch, state.SharesSettled = message.Epoch, message.SnapshotFinal
+	state.SharesEpoch, state.SharesSettled, state.WorkspacesDigest = message.Epoch, message.SnapshotFinal, message.Workspaces
 	for _, e := range message.Entries {
 		state.Shares = append(state.Shares, &gossipv1.Share{
 			Workspace: e.Workspace, Demand: float32(e.Demand), Share: float32(e.Share), Given: float32(e.Transfer),
@@ -29,7 +33,7 @@
 func decodeShares(state *gossipv1.State) ratelimit.ShareMessage {
 	message := ratelimit.ShareMessage{
 		Joined: state.SharesJoined, HasReceiverShares: state.SharesRemembered, Epoch: state.SharesEpoch, SnapshotFinal: state.SharesSettled,
-		Entries: make([]ratelimit.ShareEntry, 0, len(state.Shares)),
+		Workspaces: state.WorkspacesDigest, Entries: make([]ratelimit.ShareEntry, 0, len(state.Shares)),
 	}
 	for _, e := range state.Shares {
 		message.Entries = append(message.Entries, ratelimit.ShareEntry{
