sidecar: ignore malformed numbers in exchanges

A single NaN in a share message made share and tokens of the workspace NaN, after which every request of it was admitted; a limit with a negative or overflowing age would never have expired. Such values now count as zero and as expired. TestMalformedGossip fails without it (200 of 200 requests admitted at a burst of 100), TestMalformedAge too. It also shows that malformed registrations and configurations do not stop a node.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -133,10 +133,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, limit := range limits {
+		if limit.Age < 0 || limit.Age >= lifetime {
+			continue // expired, or malformed and would never expire
+		}
 		next := report{max(1, limit.ShedFrom), now.Add(-limit.Age)}
 		s := l.services[limit.Service]
 		if s == nil {
-			if next.shedFrom >= call.RankLimit || !next.fresh(now) || len(l.services) >= maxServices {
+			if next.shedFrom >= call.RankLimit || len(l.services) >= maxServices {
 				continue
 			}
 			s = l.add(limit.Service)
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -65,3 +66,13 @@
 		}
 	}
 }
+
+// A malformed age does not keep a limit alive.
+func TestMalformedAge(t *testing.T) {
+	l := New()
+	for _, age := range []time.Duration{-1, math.MinInt64, math.MaxInt64, lifetime} {
+		l.Relay([]call.ServiceLimit{{Service: "s", ShedFrom: 1, Age: age}}, start)
+	}
+	must.SliceEmpty(t, l.All(start))
+	must.Eq(t, call.RankLimit, l.Strictest("r", "s", start).ShedFrom)
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -176,6 +176,17 @@
 
 func decodeRank(rank uint32) call.Rank { return call.Rank(min(rank, uint32(call.RankLimit))) }
 
+// maxAge bounds decoded ages.
+const maxAge = time.Hour
+
+// DecodeAge converts an age in microseconds to a duration that a malformed value cannot make negative.
+func DecodeAge(us int64) time.Duration {
+	if us < 0 || us > maxAge.Microseconds() {
+		return maxAge
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 func encodeLimits(limits []call.ServiceLimit) []*callv1.ServiceLimit {
 	var encoded []*callv1.ServiceLimit
 	for _, l := range limits {
@@ -188,7 +199,7 @@
 	var limits []call.ServiceLimit
 	for _, l := range encoded {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), Age: time.Duration(max(0, l.AgeUs)) * time.Microsecond,
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), Age: DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
+	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
 )
@@ -323,7 +324,7 @@
 	limits := make([]call.ServiceLimit, 0, len(state.Limits))
 	for _, l := range state.Limits {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: call.Rank(min(l.ShedFrom, uint32(call.RankLimit))), Age: time.Duration(max(0, l.AgeUs)) * time.Microsecond,
+			Service: l.Service, ShedFrom: call.Rank(min(l.ShedFrom, uint32(call.RankLimit))), Age: peer.DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
--- a/sidecar/gossip_test.go
+++ b/sidecar/gossip_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/endlesstest"
 	"github.com/cowslipglade/cowslipglade/kvstore"
+	"github.com/cowslipglade/cowslipglade/ratelimit"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
 )
 
@@ -75,3 +80,43 @@
 		must.Eq(t, 1, len(nodes["a"].registry.others()))
 	}
 }
+
+// noConfiguration is a ConfigurationSource that knows no valid document.
+type noConfiguration struct{}
+
+func (noConfiguration) Read(context.Context) ([]byte, error) { return nil, kvstore.ErrNotFound }
+
+func (noConfiguration) Decode([]byte) (*config.Document, error) { return nil, errors.New("malformed") }
+
+// A malformed exchange neither stops a node nor spoils what it knows.
+func TestMalformedGossip(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Node, settings.FailureDomain = "a", "d"
+	n := New(settings, Dependencies{Store: kvstore.NewMemory(nil), Configuration: noConfiguration{}}, zerolog.Nop(), 1)
+	now := time.Now()
+	n.shares.SetMembers(nil)
+	n.shares.SetWorkspaces(map[string]ratelimit.Quota{"w": {Rate: 100, Burst: 100}}, now)
+	must.True(t, n.shares.Reconcile(now))
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for _, state := range []*gossipv1.State{
+		{},
+		{Node: "b", Registration: []byte("{")},
+		{Node: "b", Registration: []byte(`{"node":"c"}`)},
+		{Node: "b", ConfigurationRevision: 9, Configuration: []byte("x"), KnownIncarnation: 7, KnownSequence: math.MaxInt64},
+		{Node: "b", SharesJoined: true, SharesEpoch: math.MaxUint64, Shares: []*gossipv1.Share{
+			{Workspace: "w", Demand: nan, Share: inf, Given: nan, Recorded: nan, Tokens: inf, Scale: nan}, {Given: inf},
+		}},
+		{Node: "b", ShedFrom: math.MaxUint32, Limits: []*gossipv1.ServiceLimit{{Service: "s", ShedFrom: 1, AgeUs: math.MinInt64}, {}}},
+	} {
+		_, err := n.gossip.Exchange(t.Context(), state)
+		must.NoError(t, err)
+	}
+	admitted := 0
+	for range 200 {
+		if ok, _ := n.shares.Take("w", now); ok {
+			admitted++
+		}
+	}
+	must.Eq(t, 100, admitted, must.Sprint("the burst"))
+	must.Eq(t, call.RankLimit, n.limits.Strictest("r", "s", time.Now()).ShedFrom)
+}
--- a/sidecar/shares.go
+++ b/sidecar/shares.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"math"
+
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
@@ -37,13 +39,22 @@
 	}
 	for _, e := range state.Shares {
 		message.Entries = append(message.Entries, ratelimit.ShareEntry{
-			Workspace: e.Workspace, Demand: float64(e.Demand), Share: float64(e.Share), Transfer: float64(e.Given),
-			ReceiverShare: float64(e.Remembered), SnapshotShare: float64(e.Recorded), Tokens: float64(e.Tokens), Scale: float64(e.Scale),
+			Workspace: e.Workspace, Demand: finite(e.Demand), Share: finite(e.Share), Transfer: finite(e.Given),
+			ReceiverShare: finite(e.Remembered), SnapshotShare: finite(e.Recorded), Tokens: finite(e.Tokens), Scale: finite(e.Scale),
 		})
 	}
 	return message
 }
 
+// finite returns a value of a share message, or 0 for one that no node sends. A single NaN would make all later
+// shares and tokens of the workspace NaN.
+func finite(value float32) float64 {
+	if v := float64(value); v >= 0 && !math.IsInf(v, 0) {
+		return v
+	}
+	return 0
+}
+
 // Fractions of the operators' quota tolerance that are allocated to nodes. The shares of all nodes add up to
 // one, so the remainder only has to cover requests waiting in a queue, and bursts of one request at nodes
 // with a small share.
