--- a/balance/latency.go
+++ b/balance/latency.go
@@ -54,10 +54,9 @@
 // DefaultLatencyConfig returns the configuration used by cowslip-sidecar.
 func DefaultLatencyConfig() LatencyConfig {
 	return LatencyConfig{
-		SubsetSize:    20,                    // bounds the state per service, as in DefaultConfig
-		DomainPenalty: 4 * time.Millisecond,  // two round trips between domains of 1 ms each way
-		RegionPenalty: 50 * time.Millisecond, // two round trips between regions of 12 ms each way
-
+		SubsetSize:            20,                      // bounds the state per service, as in DefaultConfig
+		DomainPenalty:         4 * time.Millisecond,    // two round trips between domains of 1 ms each way
+		RegionPenalty:         50 * time.Millisecond,   // two round trips between regions of 12 ms each way
 		DomainPenaltyFraction: 0.3,                     // an upstream at its knee is expected to be slower by more
 		KiBPenalty:            4 * time.Millisecond,    // a 60 KiB upload leaves its domain only to save 0.25 s
 		SampleWeight:          0.1,                     // about the last ten calls
