ratelimit: start with empty buckets when no node knows the shares

A workspace with many times its usual load used its burst and its rate, all nodes were killed at second 13, and after the restart it got its whole burst once more: 4.5 s of rate and two bursts within 5 s, more than 1.1 times 5 s of rate and one burst.

Cause: a fleet whose nodes all start at once divides the shares evenly and filled the buckets. A node that gets its share from others starts with half.

Change: the buckets start empty. They fill at the rate, before traffic starts where the whole system does. TestSharesBoundWhenAllNodesRestart fails without it (2766 admitted, 2668 allowed). The fixture of the loan tests lets the buckets fill before its checks; these are unchanged.

--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -214,7 +214,7 @@
 	for workspace, b := range s.workspaces {
 		b.share = s.evenShare(b, s.self.Name)
 		b.snapshotShare = b.share
-		b.tokens = float64(b.quota.Burst) * b.share
+		b.tokens = 0 // the previous processes of all nodes may have used the burst just before
 		for name, m := range s.members {
 			if !m.joined {
 				m.entries[workspace] = ShareEntry{Workspace: workspace, Share: s.evenShare(b, name)}
--- a/ratelimit/shares_test.go
+++ b/ratelimit/shares_test.go
@@ -616,3 +616,30 @@
 	must.Greater(t, 0.3, f.nodes[last].workspaces["w"].share)
 	must.Between(t, 0.97, f.totalShare(), 1.02)
 }
+
+// Checks the bound when all nodes are killed while a workspace uses its whole burst and rate. Each used to start
+// again with its part of the full burst.
+func TestSharesBoundWhenAllNodesRestart(t *testing.T) {
+	const rate, bound = 400, 2668                         // the bound is 1.1 * (5 * rate + burst) + 20, with a burst of 408
+	f := newSharesFleet(16, Quota{Rate: 436, Burst: 452}) // with what nodes use of the tolerance
+	random := rand.New(rand.NewPCG(13, 14))
+	for i := range 40 {
+		f.runRound(random, i, nil)
+	}
+	demand := map[string]float64{}
+	for _, name := range f.names {
+		demand[name] = 4 * rate / 16
+	}
+	for i := range 40 {
+		f.runRound(random, i, demand)
+	}
+	f.now = f.now.Add(500 * time.Millisecond)
+	for _, name := range f.names {
+		f.startNode(name)
+	}
+	for i := range 100 {
+		f.runRound(random, i, demand)
+	}
+	must.LessEq(t, bound, f.maxAdmitted(5*time.Second))
+	must.Between(t, 0.97, f.totalShare(), 1.02)
+}
