--- a/sidecar/gossip_test.go
+++ b/sidecar/gossip_test.go
@@ -111,6 +111,7 @@
 		_, err := n.gossip.Exchange(t.Context(), state)
 		must.NoError(t, err)
 	}
+	now = now.Add(2 * time.Second) // fills the bucket
 	admitted := 0
 	for range 200 {
 		if ok, _ := n.shares.Take("w", now); ok {
