sidecar: no deadlock of an exchange with the removal of members

What callers saw: a node in this state answers no exchange, reads no configuration (the refresh asks the registry whether the node is a reader), so it refuses keyed requests once the configuration is too old, and publishes nothing. On SIGTERM it blocks in the first step of Stop, before the abort timer exists, and is killed at the end of its shutdown timeout with the requests that it still holds.

Cause: gossip.stateFor asked the registry for this node's registration while it held gossip.mu, and registry.expire asks the gossip for the last contact with a member while it holds registry.mu.

Fix: stateFor reads the registration before it locks gossip.mu, so the locks have one order.

--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -42,6 +42,7 @@
 	node   *Node
 	client *http.Client
 
+	// The registry locks mu while it holds its own lock, so no method of it may be called while mu is locked.
 	mu    sync.Mutex
 	peers map[string]*peerState
 }
@@ -243,13 +244,13 @@
 	if age, ok := n.configuration.age(); ok {
 		state.ConfigurationAgeUs = age.Microseconds()
 	}
+	self := n.registry.registration()
 	g.mu.Lock()
 	p := g.peer(peer)
 	if p.revision < state.ConfigurationRevision && !p.lastContact.IsZero() {
 		state.Configuration = n.configuration.current.Load().raw
 	}
 	after := p.marksSent
-	self := n.registry.registration()
 	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
--- a/sidecar/registry_test.go
+++ b/sidecar/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
@@ -28,3 +29,36 @@
 		must.True(t, n.registry.registration().Stopping)
 	}
 }
+
+// Guards against a deadlock of an exchange with the removal of nodes without an entry, after which the node
+// answers no exchange, publishes nothing and does not stop.
+func TestExpireDuringExchange(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Node = "n0"
+	n := New(settings, Dependencies{Store: kvstore.NewMemory(nil)}, zerolog.Nop(), 1)
+	n.registry.update(Registration{Node: "n1", Incarnation: 1}, false)
+	n.registry.members["n1"].unlistedSince = time.Now().Add(-time.Hour)
+	n.gossip.peer("n1").lastContact = time.Now().Add(time.Hour)
+	var tasks sync.WaitGroup
+	for _, task := range []func(){
+		func() { n.registry.expire(false) },
+		func() { n.gossip.stateFor("n1") },
+		n.registry.publish,
+	} {
+		tasks.Go(func() {
+			for range 20000 {
+				task()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		tasks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("deadlock")
+	}
+}
