kvstore: the store in memory can be restored from a backup

For tests of what depends on revisions and leases. A restore brings back the entries, leases and revisions of the backup, so that later ones are given out again, ends waiting watches and raises the generation, which responses report. A watch from a revision that the store does not have gets ErrCompacted. Restorable is the interface of a store that tells its generation.

--- a/kvstore/memory.go
+++ b/kvstore/memory.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -26,6 +28,8 @@
 	lastLease LeaseID
 	changed   chan struct{}
 	calls     map[string]int
+	// generation counts the restores, and reported is its value in the latest response.
+	generation, reported uint64
 
 	down          bool
 	delay         time.Duration
@@ -55,7 +59,7 @@
 	expires time.Time
 }
 
-var _ Store = (*Memory)(nil)
+var _ Restorable = (*Memory)(nil)
 
 // NewMemory returns an empty store whose leases expire by the clock now.
 func NewMemory(now func() time.Time) *Memory {
@@ -65,7 +69,49 @@
 		leases:  map[LeaseID]memoryLease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
+
+		generation: 1,
+	}
+}
+
+// Backup returns a copy of the store's state, whose leases are paused.
+func (m *Memory) Backup() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	backup := NewMemory(m.now)
+	backup.copyState(m)
+	now := m.now()
+	for id, lease := range backup.leases {
+		backup.leases[id] = memoryLease{ttl: lease.ttl, expires: time.Time{}.Add(lease.expires.Sub(now))}
+	}
+	return backup
+}
+
+// Restore replaces the store's state with a backup and ends waiting watches. Revisions and leases after those of the
+// backup are given out again.
+func (m *Memory) Restore(backup *Memory) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copyState(backup)
+	now := m.now()
+	for id, lease := range m.leases {
+		m.leases[id] = memoryLease{ttl: lease.ttl, expires: now.Add(lease.expires.Sub(time.Time{}))}
 	}
+	m.deferred = nil
+	m.generation++
+	m.notify()
+}
+
+func (m *Memory) copyState(from *Memory) {
+	m.revision, m.compacted, m.lastLease = from.revision, from.compacted, from.lastLease
+	m.entries, m.events, m.leases = maps.Clone(from.entries), slices.Clone(from.events), maps.Clone(from.leases)
+}
+
+// Generation implements Restorable.
+func (m *Memory) Generation() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reported
 }
 
 // SetDown sets whether all calls, including waiting watches, fail with ErrUnavailable.
@@ -237,11 +283,12 @@
 		return nil, after, err
 	}
 	defer m.mu.Unlock()
+	generation := m.generation
 	for {
-		if m.down {
+		if m.down || m.generation != generation {
 			return nil, after, fmt.Errorf("watch %q: %w", prefix, ErrUnavailable)
 		}
-		if after < m.compacted {
+		if after < m.compacted || after > m.revision {
 			return nil, after, fmt.Errorf("watch %q: %w", prefix, ErrCompacted)
 		}
 		if found := m.eventsAfter(prefix, after); len(found) > 0 {
@@ -282,6 +329,7 @@
 		m.mu.Unlock()
 		return fmt.Errorf("%s: %w", method, ErrUnavailable)
 	}
+	m.reported = m.generation
 	m.expire()
 	m.applyDeferred()
 	return nil
--- a/kvstore/memory_test.go
+++ b/kvstore/memory_test.go
@@ -82,3 +82,44 @@
 	cancel()
 	must.Eq(t, 0, <-done)
 }
+
+// Guards against a fake whose restore keeps what was written since the backup, or gives out new revisions and leases.
+func TestMemoryRestore(t *testing.T) {
+	m := NewMemory(time.Now)
+	ctx := t.Context()
+	kept, err := m.GrantLease(ctx, time.Minute)
+	must.NoError(t, err)
+	first, err := m.CompareAndSwap(ctx, "a", 0, []byte("1"), kept)
+	must.NoError(t, err)
+	backup := m.Backup()
+	lost, err := m.GrantLease(ctx, time.Minute)
+	must.NoError(t, err)
+	second, err := m.CompareAndSwap(ctx, "a", first, []byte("2"), lost)
+	must.NoError(t, err)
+	waiting := make(chan error)
+	go func() {
+		_, _, err := m.Watch(ctx, "a", second)
+		waiting <- err
+	}()
+	for m.Calls()["Watch"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	generation := m.Generation()
+	m.Restore(backup)
+	must.ErrorIs(t, <-waiting, ErrUnavailable)
+	must.Eq(t, generation, m.Generation(), must.Sprint("before the first response"))
+	must.NoError(t, m.KeepAlive(ctx, kept))
+	must.Eq(t, generation+1, m.Generation())
+	must.ErrorIs(t, m.KeepAlive(ctx, lost), ErrLeaseExpired)
+	entry, err := m.Get(ctx, "a")
+	must.NoError(t, err)
+	must.Eq(t, Entry{Key: "a", Value: []byte("1"), Revision: first}, entry)
+	_, _, err = m.Watch(ctx, "a", second)
+	must.ErrorIs(t, err, ErrCompacted)
+	reused, err := m.GrantLease(ctx, time.Minute)
+	must.NoError(t, err)
+	must.Eq(t, lost, reused)
+	revision, err := m.CompareAndSwap(ctx, "a", first, []byte("3"), kept)
+	must.NoError(t, err)
+	must.Eq(t, second, revision)
+}
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -65,3 +65,12 @@
 	// the revision to continue from. It returns an empty slice when ctx ends.
 	Watch(ctx context.Context, prefix string, after int64) ([]Entry, int64, error)
 }
+
+// Restorable is a Store that tells when it was restored from a backup.
+type Restorable interface {
+	Store
+	// Generation returns the generation of the store as of its latest response, or 0 if unknown. It changes when the
+	// store is restored from a backup: revisions and leases obtained in another generation are void, and may have been
+	// given out again.
+	Generation() uint64
+}
