sidecar: wait between reads of an outdated configuration

A store that was restored from a backup holds an older configuration, or none, until the operators have written theirs again. Such a read was neither an error nor a confirmation of the revision in force, so the age stayed above the limit and the node read again at once, without a pause. 16 nodes at 4 ms a call make about 3,000 reads a second, more than the store's limit of 2,000; refused calls then hit the other nodes and the renewal of leases as well.

An older document is an error now, and so is a missing one when a configuration is in force. Both use the backoff of a store that is away, at most 1.25 s, and are reported by the dependency line. Neither confirms the revision in force, as before: a newer one may have been acknowledged and lost.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,9 @@
 	return maxAge <= 0 || c.freshWithin(maxAge)
 }
 
+// errOutdatedConfiguration means that a configuration is older than the one in force.
+var errOutdatedConfiguration = errors.New("sidecar: configuration is older than the one in force")
+
 // update applies a configuration that was the newest at readAt, unless a newer revision is in force.
 func (c *configuration) update(raw []byte, readAt time.Time, from string) error {
 	document, err := c.node.source.Decode(raw)
@@ -100,7 +104,7 @@
 	old := c.document()
 	switch {
 	case document.Revision < old.Revision:
-		return nil
+		return fmt.Errorf("%w: revision %d, not %d", errOutdatedConfiguration, document.Revision, old.Revision)
 	case document.Revision > old.Revision || c.current.Load() == nil:
 		c.current.Store(&activeConfiguration{document: document, raw: raw, routes: newRouteTable(document)})
 		c.node.shares.SetWorkspaces(c.node.quotas(document), time.Now())
@@ -141,7 +145,7 @@
 		if err == nil {
 			err = c.update(raw, start, "store")
 		}
-		if errors.Is(err, kvstore.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) && c.current.Load() == nil {
 			err = nil // no configuration has been written yet
 		}
 		monitor.report(err)
