sidecar: log when the store was restored from a backup

Responses of the store carry its generation, which rises with each restore. The client reads it from every response, refusals too, and the tasks that call the store check it after each call: a store_restored line gives the new and the previous generation. Until now nothing told a restore from a store that was away. No decision depends on it yet.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -142,6 +142,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		raw, err := c.node.source.Read(callCtx)
 		cancel()
+		c.node.checkStoreGeneration()
 		if err == nil {
 			err = c.update(raw, start, "store")
 		}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -62,7 +62,7 @@
 
 // Dependencies holds the external components that a node uses.
 type Dependencies struct {
-	Store         kvstore.Store
+	Store         kvstore.Restorable
 	Configuration ConfigurationSource
 	Headers       Headers
 	// MountHeartbeats and MountReady register the platform's routes on a server.
@@ -74,7 +74,8 @@
 type Node struct {
 	currentSettings atomic.Pointer[Settings]
 	dependencies    Dependencies
-	store           kvstore.Store
+	store           kvstore.Restorable
+	generation      *storeGeneration
 	source          ConfigurationSource
 	headers         Headers
 	log             *eventLog
@@ -131,7 +132,7 @@
 func New(settings *Settings, dependencies Dependencies, log zerolog.Logger, incarnation uint64) *Node {
 	n := &Node{
 		dependencies: dependencies, store: dependencies.Store, source: dependencies.Configuration, headers: dependencies.Headers,
-		log: newEventLog(log), incarnation: incarnation,
+		log: newEventLog(log), incarnation: incarnation, generation: newStoreGeneration(dependencies.Store),
 		shares:     newShares(settings),
 		picker:     balance.NewLatencyPicker(balance.DefaultLatencyConfig(), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewRepeatLimiter(retry.RepeatLimits{}),
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -304,6 +304,7 @@
 		} else {
 			after, err = r.watch(ctx, after)
 		}
+		r.node.checkStoreGeneration()
 		monitor.report(err)
 		r.expire(err != nil)
 		if err != nil {
@@ -411,6 +412,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := p.step(callCtx)
 		cancel()
+		r.node.checkStoreGeneration()
 		if err != nil {
 			r.node.log.event("registration_failed").Err(err).Msg("cannot write registration")
 			clock.Sleep(ctx, retry.failed())
--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -98,3 +100,19 @@
 		})
 	}
 }
+
+// Guards against restores that no log line tells of.
+func TestRestoredStoreLogged(t *testing.T) {
+	store := kvstore.NewMemory(time.Now)
+	var log bytes.Buffer
+	n := New(DefaultSettings(), Dependencies{Store: store}, zerolog.New(&log), 1)
+	for _, restored := range []int{0, 1, 1, 2} {
+		if restored > strings.Count(log.String(), "store_restored") {
+			store.Restore(store.Backup())
+		}
+		_, _, err := store.List(t.Context(), "")
+		must.NoError(t, err)
+		n.checkStoreGeneration()
+		must.Eq(t, restored, strings.Count(log.String(), "store_restored"))
+	}
+}
