sidecar: list the nodes again after a restore of the store

A watch continues from the last revision it has read. After a restore from a backup that revision is soon given out again, so the store has it and does not answer 410, and the changes written with revisions up to it were missed: a node that joined then stayed unknown, one that departed stayed listed, until their entries changed again.

What a task has obtained from the store is now bound to the store's generation: the watch runs once for each generation, under a context that ends when any task of the node notices a restore, and begins with a listing.

TestRestoredStoreWatch failed before, for both cases: joined node known: false, departed node known: true in the second case the watch waits without a response, and only the reads of the configuration show the restore.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -292,9 +292,14 @@
 	}
 }
 
-// runWatch watches the entries of all nodes until ctx ends.
+// runWatch watches the entries of all nodes until ctx ends. It lists them again after a restore of the store, whose new
+// changes may have revisions up to the one it has read.
 func (r *registry) runWatch(ctx context.Context) {
 	monitor := dependencyMonitor{node: r.node, name: "store watch"}
+	r.node.generation.forEach(ctx, func(ctx context.Context) { r.follow(ctx, &monitor) })
+}
+
+func (r *registry) follow(ctx context.Context, monitor *dependencyMonitor) {
 	var retry storeBackoff
 	after := int64(0)
 	for ctx.Err() == nil {
@@ -305,6 +310,9 @@
 			after, err = r.watch(ctx, after)
 		}
 		r.node.checkStoreGeneration()
+		if ctx.Err() != nil {
+			return
+		}
 		monitor.report(err)
 		r.expire(err != nil)
 		if err != nil {
--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -51,11 +51,71 @@
 	return n
 }
 
+// outage runs change while the store is down, before any call that fails meanwhile is repeated.
+func outage(store *kvstore.Memory, change func()) {
+	store.SetDown(true)
+	time.Sleep(20 * time.Millisecond) // ends the waiting watches
+	store.SetDown(false)
+	change()
+}
+
 func within(t *testing.T, timeout time.Duration, check func() error) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(check), wait.Timeout(timeout), wait.Gap(10*time.Millisecond)))
 }
 
+func putEntry(t *testing.T, store kvstore.Store, reg Registration, lease kvstore.LeaseID) {
+	t.Helper()
+	value, err := json.Marshal(reg)
+	must.NoError(t, err)
+	_, err = store.CompareAndSwap(t.Context(), registryPrefix+reg.Node, 0, value, lease)
+	must.NoError(t, err)
+}
+
+// Guards against a watch that continues in a restored store and misses the changes made before it.
+func TestRestoredStoreWatch(t *testing.T) {
+	for name, fillers := range map[string]int{"changes follow": 3, "no change follows": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := kvstore.NewMemory(time.Now)
+			putEntry(t, store, Registration{Node: "gone", Incarnation: 1, Stopping: true}, kvstore.NoLease)
+			backup := store.Backup()
+			for i := range 3 {
+				putEntry(t, store, Registration{Node: fmt.Sprint("filler", i), Incarnation: 1}, kvstore.NoLease)
+			}
+			n := startTasks(t, store, func(n *Node) []func(context.Context) {
+				return []func(context.Context){n.registry.runWatch, n.configuration.run}
+			})
+			knows := func(name string) bool {
+				incarnation, _ := n.registry.known(name)
+				return incarnation != 0
+			}
+			within(t, 2*time.Second, func() error {
+				if !knows("gone") || store.Calls()["Watch"] == 0 {
+					return errors.New("not watching")
+				}
+				return nil
+			})
+			outage(store, func() {
+				store.Restore(backup)
+				entry, err := store.Get(t.Context(), registryPrefix+"gone")
+				must.NoError(t, err)
+				must.NoError(t, store.CompareAndDelete(t.Context(), entry.Key, entry.Revision))
+				putEntry(t, store, Registration{Node: "joined", Incarnation: 1}, kvstore.NoLease)
+				for i := range fillers {
+					putEntry(t, store, Registration{Node: fmt.Sprint("filler", i), Incarnation: 1}, kvstore.NoLease)
+				}
+			})
+			within(t, 2*time.Second, func() error {
+				if !knows("joined") || knows("gone") {
+					return fmt.Errorf("joined node known: %v, departed node known: %v", knows("joined"), knows("gone"))
+				}
+				return nil
+			})
+		})
+	}
+}
+
 // Guards against reads without a pause while the store holds an older configuration, or none, and against taking them
 // for a confirmation.
 func TestRestoredStoreOlderConfiguration(t *testing.T) {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -76,12 +76,7 @@
 
 // withAbort returns a context that ends with ctx or when the node aborts running requests.
 func (n *Node) withAbort(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(n.runCtx, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
+	return withEnd(ctx, n.runCtx)
 }
 
 // abortedByStop reports whether the shutdown of this node aborted a request that may have run. It changes
