sidecar: write a node's entry again after a restore of the store

A node compared nothing but its own memory with what it had written. After a restore from a backup its entry was back in an older state for good, as the renewals of the lease went on to succeed; or entry and lease were gone, and the entry was missing until the next renewal, 2.5 s later. If another node had been given the lease's ID meanwhile, the renewals kept that node's lease alive, the entry was missing for good, and a stop of the first node revoked the lease of the second. Nodes that join read an old state of the upstream, or do not find the node at all.

The entry is now kept for one generation of the store at a time. A restore that any task of the node notices ends it, and the node requests a new lease and writes the entry again. The old lease is not revoked, as it may be another's.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -412,8 +412,14 @@
 
 var errNodeMismatch = errors.New("sidecar: node name does not match the expected node")
 
-// runPublish keeps this node's entry and its lease current until ctx ends.
+// runPublish keeps this node's entry and its lease current until ctx ends. After a restore of the store it writes the
+// entry again under a new lease: the entry may be lost or outdated, and another node may hold a lease with the same ID.
 func (r *registry) runPublish(ctx context.Context) {
+	r.node.generation.forEach(ctx, r.publishEntry)
+}
+
+func (r *registry) publishEntry(ctx context.Context) {
+	r.setLease(kvstore.NoLease)
 	p := publisher{registry: r}
 	var retry storeBackoff
 	for ctx.Err() == nil {
@@ -421,6 +427,9 @@
 		err := p.step(callCtx)
 		cancel()
 		r.node.checkStoreGeneration()
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			r.node.log.event("registration_failed").Err(err).Msg("cannot write registration")
 			clock.Sleep(ctx, retry.failed())
--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -72,6 +72,16 @@
 	must.NoError(t, err)
 }
 
+// storedSequence returns the sequence number of n0's registration in the store.
+func storedSequence(store kvstore.Store) (int64, error) {
+	entry, err := store.Get(context.Background(), registryPrefix+"n0")
+	if err != nil {
+		return 0, err
+	}
+	var reg Registration
+	return reg.Sequence, json.Unmarshal(entry.Value, &reg)
+}
+
 // Guards against a watch that continues in a restored store and misses the changes made before it.
 func TestRestoredStoreWatch(t *testing.T) {
 	for name, fillers := range map[string]int{"changes follow": 3, "no change follows": 1} {
@@ -116,6 +126,77 @@
 	}
 }
 
+// Guards against a node whose entry came back older, or was lost, and is not written again.
+func TestRestoredStoreEntry(t *testing.T) {
+	for name, test := range map[string]struct{ backupBeforeLease, reuseLease bool }{
+		"older entry":                  {},
+		"lost entry":                   {backupBeforeLease: true},
+		"lost entry, lease of another": {backupBeforeLease: true, reuseLease: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := kvstore.NewMemory(time.Now)
+			backup := store.Backup()
+			n := startTasks(t, store, func(n *Node) []func(context.Context) {
+				return []func(context.Context){n.registry.runPublish, n.registry.runWatch}
+			})
+			writes := func(sequence int64) {
+				t.Helper()
+				within(t, 2*time.Second, func() error {
+					if stored, err := storedSequence(store); err != nil || stored != sequence {
+						return errors.Join(err, fmt.Errorf("sequence %d in the store, not %d", stored, sequence))
+					}
+					return nil
+				})
+			}
+			writes(1)
+			if !test.backupBeforeLease {
+				backup = store.Backup()
+			}
+			n.registry.publish()
+			writes(2)
+			outage(store, func() {
+				store.Restore(backup)
+				if test.reuseLease {
+					lease, err := store.GrantLease(t.Context(), time.Minute)
+					must.NoError(t, err)
+					must.Eq(t, 1, lease, must.Sprint("the lease that the node had"))
+				}
+			})
+			writes(2)
+		})
+	}
+}
+
+// Guards against a stopping node that revokes the lease of another one.
+func TestRestoredStoreStop(t *testing.T) {
+	store := kvstore.NewMemory(time.Now)
+	backup := store.Backup()
+	n := startTasks(t, store, func(n *Node) []func(context.Context) { return []func(context.Context){n.registry.runPublish} })
+	lease := func() kvstore.LeaseID {
+		n.registry.mu.Lock()
+		defer n.registry.mu.Unlock()
+		return n.registry.lease
+	}
+	within(t, time.Second, func() error {
+		_, err := storedSequence(store)
+		return err
+	})
+	store.Restore(backup)
+	other, err := store.GrantLease(t.Context(), time.Minute)
+	must.NoError(t, err)
+	must.Eq(t, lease(), other)
+	n.registry.publish()
+	within(t, time.Second, func() error {
+		if lease() == other {
+			return errors.New("the node uses the lease of another")
+		}
+		return nil
+	})
+	must.NoError(t, n.registry.deregister(t.Context()))
+	must.NoError(t, store.KeepAlive(t.Context(), other))
+}
+
 // Guards against reads without a pause while the store holds an older configuration, or none, and against taking them
 // for a confirmation.
 func TestRestoredStoreOlderConfiguration(t *testing.T) {
