--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -292,9 +292,14 @@
 	}
 }
 
-// runWatch watches the entries of all nodes until ctx ends.
+// runWatch watches the entries of all nodes until ctx ends. It lists them again after a restore of the store, whose new
+// changes may have revisions up to the one it has read.
 func (r *registry) runWatch(ctx context.Context) {
 	monitor := dependencyMonitor{node: r.node, name: "store watch"}
+	r.node.generation.forEach(ctx, func(ctx context.Context) { r.follow(ctx, &monitor) })
+}
+
+func (r *registry) follow(ctx context.Context, monitor *dependencyMonitor) {
 	var retry storeBackoff
 	after := int64(0)
 	for ctx.Err() == nil {
@@ -304,6 +309,10 @@
 		} else {
 			after, err = r.watch(ctx, after)
 		}
+		r.node.checkStoreGeneration()
+		if ctx.Err() != nil {
+			return
+		}
 		monitor.report(err)
 		r.expire(err != nil)
 		if err != nil {
@@ -403,14 +412,24 @@
 
 var errNodeMismatch = errors.New("sidecar: node name does not match the expected node")
 
-// runPublish keeps this node's entry and its lease current until ctx ends.
+// runPublish keeps this node's entry and its lease current until ctx ends. After a restore of the store it writes the
+// entry again under a new lease: the entry may be lost or outdated, and another node may hold a lease with the same ID.
 func (r *registry) runPublish(ctx context.Context) {
+	r.node.generation.forEach(ctx, r.publishEntry)
+}
+
+func (r *registry) publishEntry(ctx context.Context) {
+	r.setLease(kvstore.NoLease)
 	p := publisher{registry: r}
 	var retry storeBackoff
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := p.step(callCtx)
 		cancel()
+		r.node.checkStoreGeneration()
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			r.node.log.event("registration_failed").Err(err).Msg("cannot write registration")
 			clock.Sleep(ctx, retry.failed())
