sidecar: check registrations before they are used

By test: an odd entry below cowslipglade/nodes/ named a node to use. One with a port of 65536, a host name, no address or a negative number of slots became a candidate for calls; one with the largest incarnation, or sequence, replaced what was known of the live node of that name, and no later registration of that node could replace it; slots of 2^31 and a warm-up that overflows a duration distorted the choice of upstreams; an entry whose key is shorter than the prefix ended the process.

Cause: an entry only had to decode into the struct and to repeat the name in its key. Keys were cut without a look at them.

Evidence, before the fix: 22 of the 37 cases of TestOddRegistration failed, for example --- FAIL: TestOddRegistration/peer_port_too_large (0.00s) ↪ len(slice): 1 --- FAIL: TestOddRegistration/incarnation_forged (0.00s) ↪ len(slice): 1 and TestOddRegistryKey ended with: panic: runtime error: slice bounds out of range [19:0] The other 15 passed: bytes that do not decode, fields of other types, numbers too large for their type and nesting of 2^20 levels, which encoding/json rejects at 10,000, were ignored already, each in under a second.

Fix: decodeRegistration checks every field by a named rule, for entries and for registrations in exchanges alike. The error states field, value and rule; the line is registration_rejected or gossip_rejected, and registrations_rejected_total counts by field. What is known of the node stays, and so does its place in the list. Bounds: incarnation and sequence up to 2^62, slots up to 2^20, warm-up up to an hour, names up to 200 bytes, addresses as IP:port with a port above 0. Nothing is compared with the time of day, which may jump.

FuzzDecodeRegistration ran 82,053 inputs in 15 s without a failure. TestGossipSendsRegistrationOnce built nodes without addresses and service, which Settings.Check never lets start; its nodes have both now, and it checks the same as before. go test -race of sidecar, cmd/cowslip-sidecar and the emulators passed.

What remains: an entry that satisfies all rules but names no live process counts as a node until it is deleted, as the entry of a crashed node does until its lease ends; a forged incarnation between that of the live node and 2^62 still hides it.

--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -280,9 +280,9 @@
 	n := g.node
 	now := time.Now()
 	if len(state.Registration) > 0 || state.Node == "" {
-		var reg Registration
-		if err := json.Unmarshal(state.Registration, &reg); err != nil || reg.Node != state.Node {
-			n.log.event("gossip_rejected").Str("peer", state.Node).AnErr("error", err).Msg("invalid peer state ignored")
+		reg, err := decodeRegistration(state.Registration, state.Node)
+		if err != nil {
+			n.registry.rejectRegistration("gossip_rejected", state.Node, err)
 			return
 		}
 		n.registry.update(reg, false)
--- a/sidecar/gossip_test.go
+++ b/sidecar/gossip_test.go
@@ -45,9 +45,7 @@
 func TestGossipSendsRegistrationOnce(t *testing.T) {
 	nodes := map[string]*Node{}
 	start := func(name string, incarnation uint64) {
-		settings := DefaultSettings()
-		settings.Node, settings.FailureDomain = name, "d"
-		nodes[name] = New(settings, Dependencies{Store: kvstore.NewMemory(nil)}, zerolog.Nop(), incarnation)
+		nodes[name] = testNode(name, incarnation)
 		nodes[name].registry.publish()
 	}
 	// exchange returns whether a and b sent their registrations.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -58,6 +58,8 @@
 	store   *expvar.Map
 	// loans counts borrowed tokens and failed calls to lenders.
 	loans *expvar.Map
+	// registrationsRejected counts registrations of other nodes that were not used, by the violated rule.
+	registrationsRejected *expvar.Map
 	// upstreamCalls counts calls on open routes by whether the running request that made them is known.
 	upstreamCalls *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
@@ -68,7 +70,7 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
-		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
@@ -76,6 +78,7 @@
 	m.vars.Set("repeats_total", m.repeats)
 	m.vars.Set("store_calls_total", m.store)
 	m.vars.Set("quota_loans_total", m.loans)
+	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -350,7 +350,9 @@
 	}
 	seen := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		seen[entry.Key[len(registryPrefix):]] = true
+		if node, ok := nodeOfKey(entry.Key); ok {
+			seen[node] = true
+		}
 		r.applyEntry(entry)
 	}
 	for _, other := range r.others() {
@@ -377,8 +379,8 @@
 		return after, err
 	}
 	for _, event := range events {
-		if event.Deleted {
-			r.markUnlisted(event.Key[len(registryPrefix):])
+		if node, ok := nodeOfKey(event.Key); ok && event.Deleted {
+			r.markUnlisted(node)
 		} else {
 			r.applyEntry(event)
 		}
@@ -386,16 +388,17 @@
 	return next, nil
 }
 
-// applyEntry applies an entry from the store. It ignores entries that cannot be decoded, as other writers
-// may have created them.
+// applyEntry applies an entry of a node from the store. It ignores invalid ones, as other writers may have
+// created them.
 func (r *registry) applyEntry(entry kvstore.Entry) {
-	var reg Registration
-	err := json.Unmarshal(entry.Value, &reg)
-	if err == nil && reg.Node != entry.Key[len(registryPrefix):] {
-		err = errNodeMismatch
+	node, ok := nodeOfKey(entry.Key)
+	if !ok {
+		r.rejectRegistration("registration_rejected", entry.Key, errRegistryKey)
+		return
 	}
+	reg, err := decodeRegistration(entry.Value, node)
 	if err != nil {
-		r.node.log.event("registration_rejected").Str("key", entry.Key).Err(err).Msg("invalid registry entry ignored")
+		r.rejectRegistration("registration_rejected", entry.Key, err)
 		return
 	}
 	r.update(reg, true)
