sidecar: restore an entry that another writer overwrote or deleted

By test: once another writer had put an odd value under a node's key, or deleted it, the entry stayed so until the node's registration changed, which may be never. Nodes that started meanwhile learned of that node only from exchanges, and an overwritten entry without a lease outlived the node.

Cause: the publisher compares the sequence that it wrote last with its own, never with what the store holds.

Evidence, before the fix: TestRestoresDisplacedEntry failed after 10 s with error: wait: timeout exceeded: entry is "{"

Fix: the node looks at its own entry in the watch and the lists that it reads anyway. A change after its last confirmed write with another value than the one it writes, a deletion, or a list without its entry, makes the publisher write again, under the lease. It does so at most once per renewal of the lease, 2.5 s, so that two processes with one name do not write in turns without a pause. Nothing is restored after the deregistration of a stop. A lapsed lease shows in the same way and is renewed earlier than before. registration_displaced logs each change seen; TestDoesNotRestoreSoundEntry finds no such line while a node changes its registration five times.

Both tests passed three times with -race, and all tests of the package once.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -85,9 +86,15 @@
 type registry struct {
 	node *Node
 
-	mu       sync.Mutex
-	self     Registration
-	lease    kvstore.LeaseID
+	mu    sync.Mutex
+	self  Registration
+	lease kvstore.LeaseID // NoLease before the first grant and after deregistration
+	// published is the value of this node's entry as last written, publishedRevision its revision or 0 if none is
+	// confirmed. displaced means that another writer has changed or deleted the entry since.
+	published         []byte
+	publishedRevision int64
+	displaced         bool
+
 	members  map[string]*member
 	dirty    bool
 	services map[string]bool
@@ -107,11 +114,15 @@
 	r.self = r.buildRegistration(r.self.Sequence + 1)
 	r.dirty = true
 	r.mu.Unlock()
+	r.wakePublisher()
+	r.applyMembership()
+}
+
+func (r *registry) wakePublisher() {
 	select {
 	case r.changed <- struct{}{}:
 	default:
 	}
-	r.applyMembership()
 }
 
 // buildRegistration returns the current registration of this node. The caller must hold the lock, so that a
@@ -355,6 +366,9 @@
 		}
 		r.applyEntry(entry)
 	}
+	if self := r.node.settings().Node; !seen[self] {
+		r.checkOwnEntry(kvstore.Entry{Revision: revision, Deleted: true})
+	}
 	for _, other := range r.others() {
 		if !seen[other.Node] {
 			r.markUnlisted(other.Node)
@@ -379,29 +393,55 @@
 		return after, err
 	}
 	for _, event := range events {
-		if node, ok := nodeOfKey(event.Key); ok && event.Deleted {
-			r.markUnlisted(node)
-		} else {
-			r.applyEntry(event)
-		}
+		r.applyEntry(event)
 	}
 	return next, nil
 }
 
-// applyEntry applies an entry of a node from the store. It ignores invalid ones, as other writers may have
-// created them.
+// applyEntry applies a node's entry, or its deletion, from the store. It ignores invalid entries, as other writers
+// may have created them.
 func (r *registry) applyEntry(entry kvstore.Entry) {
 	node, ok := nodeOfKey(entry.Key)
-	if !ok {
+	switch {
+	case !ok:
 		r.rejectRegistration("registration_rejected", entry.Key, errRegistryKey)
-		return
+	case node == r.node.settings().Node:
+		r.checkOwnEntry(entry)
+	case entry.Deleted:
+		r.markUnlisted(node)
+	default:
+		reg, err := decodeRegistration(entry.Value, node)
+		if err != nil {
+			r.rejectRegistration("registration_rejected", entry.Key, err)
+			return
+		}
+		r.update(reg, true)
 	}
-	reg, err := decodeRegistration(entry.Value, node)
-	if err != nil {
-		r.rejectRegistration("registration_rejected", entry.Key, err)
-		return
+}
+
+// checkOwnEntry schedules a write of this node's entry if another writer has changed or deleted it, or if its lease
+// has ended.
+func (r *registry) checkOwnEntry(change kvstore.Entry) {
+	r.mu.Lock()
+	displaced := r.lease != kvstore.NoLease && r.publishedRevision != 0 &&
+		(change.Revision == 0 || change.Revision > r.publishedRevision) &&
+		(change.Deleted || !bytes.Equal(change.Value, r.published))
+	r.displaced = r.displaced || displaced
+	r.mu.Unlock()
+	if displaced {
+		r.node.log.event("registration_displaced").Int64("revision", change.Revision).Bool("deleted", change.Deleted).
+			Msg("registry entry of this node overwritten, deleted or expired")
+		r.wakePublisher()
 	}
-	r.update(reg, true)
+}
+
+// takeDisplaced reports whether another writer has changed this node's entry since the last call.
+func (r *registry) takeDisplaced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	displaced := r.displaced
+	r.displaced = false
+	return displaced
 }
 
 var errNodeMismatch = errors.New("sidecar: node name does not match the expected node")
@@ -431,6 +471,7 @@
 	renewed         time.Time
 	revision        int64
 	writtenSequence int64 // sequence number of the registration in the store
+	restored        time.Time
 }
 
 // step performs the store calls that are due.
@@ -454,6 +495,10 @@
 		}
 		p.renewed = now
 	}
+	// Restoring at the pace of renewals keeps two processes with the same name from writing in turns without a pause.
+	if now := clock.Boot(); now.Sub(p.restored) >= leaseRenewInterval && p.registry.takeDisplaced() {
+		p.restored, p.writtenSequence = now, 0
+	}
 	self := p.registry.registration()
 	if self.Sequence == p.writtenSequence {
 		return nil
@@ -468,10 +513,11 @@
 		return err
 	}
 	key := registryPrefix + self.Node
+	p.registry.setPublishing(value)
 	revision, err := store.CompareAndSwap(ctx, key, p.revision, value, p.lease)
 	switch {
 	case err == nil:
-		p.revision, p.writtenSequence = revision, self.Sequence
+		p.written(revision, self)
 	case errors.Is(err, kvstore.ErrLeaseExpired):
 		p.lease = kvstore.NoLease
 	case errors.Is(err, kvstore.ErrConflict):
@@ -484,12 +530,17 @@
 		p.revision = entry.Revision
 		revision, err = store.CompareAndSwap(ctx, key, p.revision, value, p.lease)
 		if err == nil {
-			p.revision, p.writtenSequence = revision, self.Sequence
+			p.written(revision, self)
 		}
 	}
 	return err
 }
 
+func (p *publisher) written(revision int64, self Registration) {
+	p.revision, p.writtenSequence = revision, self.Sequence
+	p.registry.setPublished(revision)
+}
+
 // wait blocks until the registration changes or the lease is due for renewal.
 func (p *publisher) wait(ctx context.Context) {
 	timer := time.NewTimer(max(0, leaseRenewInterval-clock.Boot().Sub(p.renewed)))
@@ -505,6 +556,7 @@
 func (r *registry) deregister(ctx context.Context) error {
 	r.mu.Lock()
 	lease := r.lease
+	r.lease = kvstore.NoLease
 	r.mu.Unlock()
 	if lease == kvstore.NoLease {
 		return nil
@@ -517,3 +569,17 @@
 	r.lease = lease
 	r.mu.Unlock()
 }
+
+// setPublishing records the value of this node's entry that is about to be written.
+func (r *registry) setPublishing(value []byte) {
+	r.mu.Lock()
+	r.published = value
+	r.mu.Unlock()
+}
+
+// setPublished records the revision of the last confirmed write of this node's entry.
+func (r *registry) setPublished(revision int64) {
+	r.mu.Lock()
+	r.publishedRevision = revision
+	r.mu.Unlock()
+}
