upstream: ignore refusals that a kept connection repeats

Callers were told 503, not run, for a request that the upstream was running, and a request that must run once ran at a second upstream: an upstream wrote an earlier refusal once more on a kept connection, and the refusal named no request.

Cause: DirectClient took any response without a request ID for the response to its call. sidecar then believed the refusal (status 421 or the not-run marker), and the dispatcher sent the request elsewhere. A repeated refusal with the earlier ID was discarded already.

Fix: a response that names no request is accepted only as the first one on its connection, where no earlier request exists. Later ones are discarded like those of other requests; if the real response does not follow, the call may have run and the connection is closed. Requests without an ID get a connection of their own, because nothing tells their responses from others. The check of the ID in checkResponse could no longer fail and is removed.

--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -211,8 +211,6 @@
 		return call.NewRefusal(call.CodeNoUpstream, call.NotRun, "another upstream has the address")
 	case fields.NotRun:
 		return call.NewRefusal(call.CodeUpstreamRefused, call.NotRun, "upstream refused with status %d", response.Status)
-	case fields.RequestID != "" && fields.RequestID != req.RequestID:
-		return call.NewRefusal(call.CodeUpstreamFailed, call.MayHaveRun, "answer of another request")
 	case !fields.Signed:
 		return call.NewRefusal(call.CodeUpstreamFailed, call.MayHaveRun, "answer with status %d is not signed", response.Status)
 	case response.Header.Get("Content-Encoding") != "":
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -140,9 +140,8 @@
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
 	n.currentSettings.Store(settings)
-	n.upstreams = upstream.NewDirectClient(func(response http.Header, requestID string) bool {
-		id := n.headers.ReadResponse(response).RequestID
-		return id == requestID || id == "" // some upstream refusals carry no request ID
+	n.upstreams = upstream.NewDirectClient(func(response http.Header) string {
+		return n.headers.ReadResponse(response).RequestID
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.runCtx, n.abortRunning = context.WithCancel(context.Background())
--- a/sidecar/request_test.go
+++ b/sidecar/request_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -285,3 +287,45 @@
 		must.Eq(t, http.StatusOK, got.status)
 	}
 }
+
+// Guards against telling a client that its request has not run because the upstream repeats an earlier refusal while
+// it runs the request.
+func TestRepeatedRefusalOfEarlierRequest(t *testing.T) {
+	for name, status := range map[string]string{
+		"busy": "503 Service Unavailable\r\nNot-Executed: 1", "of another address": "421 Misdirected Request\r\nInstance-Id: i-0",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			refusal := "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"
+			f := startFleet(t, 2, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+				conn, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, refusal)
+				next, err := http.ReadRequest(buffered.Reader)
+				if err != nil {
+					return
+				}
+				runs.Add(1)
+				_, _ = io.WriteString(conn, refusal)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed\r\nContent-Length: 2\r\n\r\nok", next.Header.Get("Request-Id"))
+			}))
+			for i := range 20 {
+				for _, n := range f.nodes { // a node waits for a heartbeat after another upstream had the address
+					must.NoError(t, n.node.Heartbeat(n.beat(int64(i+2), false)))
+				}
+				before := runs.Load()
+				got := f.send(f.nodes[0], http.MethodPost, "/once/a", fmt.Sprint("id", i), "key-1", time.Second)
+				ran := runs.Load() - before
+				must.LessEq(t, 1, ran, must.Sprint("sent to a second upstream"))
+				if ran == 1 {
+					must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+				}
+			}
+			must.Positive(t, runs.Load())
+		})
+	}
+}
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -38,15 +38,14 @@
 // DirectClient runs calls on upstreams that speak plain HTTP/1.1, one call at a time per connection. It sends
 // each call at most once. It is safe for concurrent use.
 type DirectClient struct {
-	pool *httpconn.Pool
-	// matches reports whether a response with the header belongs to the request.
-	matches func(header http.Header, requestID string) bool
+	pool      *httpconn.Pool
+	requestID func(http.Header) string
 }
 
-// NewDirectClient returns a client. matches reports whether a response with the given header belongs to the
-// request.
-func NewDirectClient(matches func(header http.Header, requestID string) bool) *DirectClient {
-	return &DirectClient{matches: matches, pool: httpconn.NewPool(httpconn.Config{
+// NewDirectClient returns a client. requestID returns the ID of the request that a response with the given header
+// names, or an empty string.
+func NewDirectClient(requestID func(http.Header) string) *DirectClient {
+	return &DirectClient{requestID: requestID, pool: httpconn.NewPool(httpconn.Config{
 		DialTimeout:       directDialTimeout,
 		MaxIdleTime:       directMaxIdleTime,
 		MaxHeadBytes:      maxResponseHeaderBytes,
@@ -73,6 +72,9 @@
 	if !req.Idempotent {
 		maxIdleTime = nonIdempotentMaxIdleTime
 	}
+	if req.RequestID == "" {
+		maxIdleTime = 0 // on a reused connection, its response could not be told from another
+	}
 	conn, err := d.pool.Get(ctx, address, maxIdleTime)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 	httpResponse, sent, err := conn.Exchange(req.Method, req.Body, req.ContentLength)
-	for stray := 0; err == nil && !d.matches(httpResponse.Header, req.RequestID); stray++ {
+	for stray := 0; err == nil && !d.answers(httpResponse, conn.Reused || stray > 0, req.RequestID); stray++ {
 		if stray == maxStrayResponses {
 			return nil, fmt.Errorf("%w: answers of other requests", ErrMalformedResponse)
 		}
@@ -133,6 +135,13 @@
 	return response, nil
 }
 
+// answers reports whether a response belongs to the request. Upstreams may refuse a request without naming it. Only
+// the first response of a connection can be attributed then: a later one may repeat a refusal of an earlier request.
+func (d *DirectClient) answers(response *httpconn.Response, later bool, requestID string) bool {
+	id := d.requestID(response.Header)
+	return id == requestID || id == "" && !later
+}
+
 // directError wraps an error of exchange in the error that identifies its cause.
 func directError(ctx context.Context, err error) error {
 	switch {
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -67,9 +67,7 @@
 }
 
 func newDirectClient() *DirectClient {
-	return NewDirectClient(func(header http.Header, requestID string) bool {
-		return header.Get("Request-Id") == requestID
-	})
+	return NewDirectClient(func(header http.Header) string { return header.Get("Request-Id") })
 }
 
 func runDirect(t *testing.T, d *DirectClient, address, id, body string, idempotent bool) (string, error) {
@@ -116,6 +114,64 @@
 	must.Eq(t, "two", got)
 }
 
+// Guards against taking a refusal that the upstream repeats on a kept connection for the response to the request that
+// it runs.
+func TestDirectRepeatedRefusal(t *testing.T) {
+	const (
+		named     = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		unnamed   = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+		misplaced = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+		continues = "HTTP/1.1 100 Continue\r\n\r\n"
+	)
+	large := strings.Repeat("x", 8<<20)
+	for name, test := range map[string]struct{ body, first, second, want string }{
+		"named":              {first: named, second: named + reply("r2", "two"), want: "two"},
+		"unnamed":            {first: unnamed, second: unnamed + reply("r2", "two"), want: "two"},
+		"of another address": {first: misplaced, second: misplaced + reply("r2", "two"), want: "two"},
+		"twice":              {first: unnamed, second: unnamed + unnamed + reply("r2", "two"), want: "two"},
+		"after continue":     {first: unnamed, second: continues + unnamed + continues + reply("r2", "two"), want: "two"},
+		"during upload":      {body: large, first: unnamed, second: "early " + unnamed + reply("r2", "two"), want: "two"},
+		"no response":        {first: unnamed, second: "close " + unnamed},
+		"running":            {first: unnamed, second: unnamed},
+		"running upload":     {body: large, first: unnamed, second: "early " + unnamed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, connections := rawUpstream(t, func(_, request int) string {
+				return map[int]string{1: test.first, 2: test.second, 3: reply("r3", "three")}[request]
+			})
+			d := newDirectClient()
+			defer d.Close()
+			_, err := runDirect(t, d, address, "r1", "", false)
+			must.NoError(t, err, must.Sprint("the first response of a connection belongs to its first request"))
+			got, err := runDirect(t, d, address, "r2", test.body, false)
+			if test.want == "" {
+				must.Error(t, err, must.Sprint(got))
+				must.False(t, errors.Is(err, ErrNotConnected), must.Sprint("the call may have run"))
+			} else {
+				must.NoError(t, err)
+				must.Eq(t, test.want, got)
+			}
+			must.Eq(t, 1, connections.Load())
+			if test.want == "" {
+				_, _ = runDirect(t, d, address, "r3", "", false)
+				must.Eq(t, 2, connections.Load(), must.Sprint("the connection must not be reused"))
+			}
+		})
+	}
+}
+
+// Guards against returning any response of a reused connection for a request that none can name.
+func TestDirectRequestWithoutID(t *testing.T) {
+	address, connections := rawUpstream(t, func(int, int) string { return reply("", "x") })
+	d := newDirectClient()
+	defer d.Close()
+	for range 2 {
+		_, err := runDirect(t, d, address, "", "", true)
+		must.NoError(t, err)
+	}
+	must.Eq(t, 2, connections.Load())
+}
+
 // Checks that a response without a length ends with its connection, and that a truncated, missing or stray
 // response is an error after which the call may have run.
 func TestDirectFraming(t *testing.T) {
