httpresponse: reset the connection of a truncated response to HTTP/1.0

HTTP/1.0 callers could take a truncated response for a complete one: a streamed response without a length that broke after more than 2 KiB had been passed on ended with an ordinary close of the connection, which is the end of such a body. HTTP/1.1 callers are not affected, since the last chunk is missing.

Cause: http.ErrAbortHandler closes the connection, and net/http frames a response of unknown length to HTTP/1.0 by the close.

Fix: Write resets the connection of such a caller. It takes the request in place of the method, to know the protocol.

--- a/caller/server.go
+++ b/caller/server.go
@@ -112,7 +112,7 @@
 		return nil
 	}
 	w.Header().Set(call.HeaderRequestID, requestID)
-	httpresponse.Write(w, r.Method, response)
+	httpresponse.Write(w, r, response)
 	return nil
 }
 
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,14 +12,13 @@
 	"github.com/cowslipglade/cowslipglade/call"
 )
 
-// Write writes the response to a request with the given method and closes its body. If the body cannot be
-// copied completely, it aborts the connection, so that the receiver cannot mistake a truncated response for
-// a complete one. A response to HEAD gets no Content-Length, because the length of the omitted body is
-// unknown.
-func Write(w http.ResponseWriter, method string, response *call.Response) {
+// Write writes the response to a request and closes its body. If the body cannot be copied completely, it
+// aborts the connection, so that the receiver cannot mistake a truncated response for a complete one. A
+// response to HEAD gets no Content-Length, because the length of the omitted body is unknown.
+func Write(w http.ResponseWriter, r *http.Request, response *call.Response) {
 	defer response.Body.Close()
 	call.CopyHeader(w.Header(), response.Header)
-	if response.ContentLength >= 0 && method != http.MethodHead {
+	if response.ContentLength >= 0 && r.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	if !response.Buffered && !response.Deadline.IsZero() {
@@ -31,10 +31,26 @@
 	}
 	w.WriteHeader(response.Status)
 	if _, err := io.Copy(w, response.Body); err != nil {
+		if !r.ProtoAtLeast(1, 1) {
+			resetConnection(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConnection resets the connection of an HTTP/1.0 client, for which an ordinary close is the end of a body
+// without a length.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // response recorders in tests have no connection
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
+
 // writeGrace delays the write deadline, so that the deadline of the call ends the stream before the
 // connection is aborted.
 const writeGrace = 100 * time.Millisecond
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -312,7 +312,7 @@
 	}
 	meta.Load, meta.Limits = encodeLoad(response.Load), encodeLimits(response.Limits)
 	a.writeMetadata(w, meta)
-	httpresponse.Write(w, r.Method, response)
+	httpresponse.Write(w, r, response)
 }
 
 func (a *Acceptor) writeMetadata(w http.ResponseWriter, meta *callv1.AnswerMetadata) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -71,7 +71,7 @@
 		s.writeRefusal(w, incoming.CallID, call.AsRefusal(err))
 		return
 	}
-	s.writeResponse(w, incoming.CallID, response)
+	s.writeResponse(w, r, incoming.CallID, response)
 }
 
 func (s *Server) writeRefusal(w http.ResponseWriter, callID string, refusal *call.Refusal) {
@@ -84,12 +84,12 @@
 	w.WriteHeader(refusal.Status())
 }
 
-func (s *Server) writeResponse(w http.ResponseWriter, callID string, response *call.Response) {
+func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, callID string, response *call.Response) {
 	encoded, sign, err := encodeResponseMetadata(s.keyring, callID, response, nil)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header()[headerResponse] = []string{encoded}
 	w.Header()[headerSignature] = []string{sign}
-	httpresponse.Write(w, http.MethodPost, response)
+	httpresponse.Write(w, r, response)
 }
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -69,7 +69,7 @@
 		response.Body = stream
 		defer func() { n.logBrokenResponse(r.Context(), &e.req.Context, stream) }()
 	}
-	httpresponse.Write(w, r.Method, response)
+	httpresponse.Write(w, r, response)
 }
 
 // streamedBody records how many bytes of a response were passed on and the read error that truncated it.
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -151,6 +151,6 @@
 		httpresponse.WriteRefusal(w, call.AsRefusal(err), "")
 		return nil
 	}
-	httpresponse.Write(w, r.Method, response)
+	httpresponse.Write(w, r, response)
 	return nil
 }
