peer: check that refusals of other calls prove nothing

A refusal names its call between nodes. TestForwardRefusalOfAnotherCall writes the refusal of an earlier call at each point of an exchange, and half of it: the call counts as not run only while its body is withheld.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"encoding/base64"
 	"errors"
 	"io"
 	stdlog "log"
@@ -15,8 +17,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	callv1 "github.com/cowslipglade/cowslipglade/rpc/call/v1"
 )
 
 // acceptor is an AcceptHandler function.
@@ -157,3 +161,52 @@
 	_, err := f.Forward(t.Context(), Destination{Address: address}, forwardRequest(false, "x"), time.Second)
 	must.Eq(t, call.MayHaveRun, call.AsRefusal(err).Outcome)
 }
+
+// Checks that the refusal of an earlier call on the connection never counts as that of a call whose body was sent.
+func TestForwardRefusalOfAnotherCall(t *testing.T) {
+	data, err := proto.Marshal(&callv1.AnswerMetadata{CallId: "c0", Refusal: refusalMessage(call.NewRefusal(call.CodeOverloaded, call.NotRun, "full"))})
+	must.NoError(t, err)
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + headerResponse + ": " + base64.RawURLEncoding.EncodeToString(data) + "\r\n\r\n"
+	for name, test := range map[string]struct {
+		idempotent bool
+		written    string
+		outcome    call.Outcome
+	}{
+		"repeatable":               {true, refusal, call.MayHaveRun},
+		"before the reservation":   {false, refusal, call.NotRun}, // the body is withheld
+		"with the reservation":     {false, "HTTP/1.1 102 Processing\r\n\r\n" + refusal, call.MayHaveRun},
+		"in the middle of a head":  {true, refusal[:len(refusal)-3], call.MayHaveRun},
+		"before a reserved answer": {false, refusal + "HTTP/1.1 102 Processing\r\n\r\n", call.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer listener.Close()
+			received := make(chan string, 1)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, test.written)
+				if name == "in the middle of a head" {
+					return
+				}
+				body, _ := io.ReadAll(r.Body) // fails if the sender closes the connection
+				received <- string(body)
+			}()
+			f := NewForwarder("n1")
+			defer f.Close()
+			_, err = f.Forward(t.Context(), Destination{Address: listener.Addr().String()}, forwardRequest(test.idempotent, "x"), time.Second)
+			must.Eq(t, test.outcome, call.AsRefusal(err).Outcome, must.Sprint(err))
+			if test.outcome == call.NotRun {
+				must.Eq(t, "", <-received)
+			}
+		})
+	}
+}
