Abort no call through the context of another one

What callers saw: 502 "may have run" within milliseconds for a request that its destination went on running.

Cause: Forwarder and DirectClient close a call's connection when its context ends. They put the connection back into the pool first and removed that function afterwards. A context that ended in between, or whose function had been started but not run, closed the connection under the next call.

Change: the function belongs to the connection (CloseAfter). Release removes it before the connection goes into the pool, and closes the connection instead when it comes too late.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -38,6 +39,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	closed      atomic.Bool
+	// detach removes the function that CloseAfter has registered; nil if there is none.
+	detach func() bool
 }
 
 // Head is a request line with headers. Target and header values are sent unmodified.
@@ -180,13 +183,19 @@
 // SetDeadline sets the deadline of all reads and writes; the zero time removes it.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.raw.SetDeadline(t) }
 
+// CloseAfter closes the connection when ctx ends, unless it has been released before.
+func (c *Conn) CloseAfter(ctx context.Context) { c.detach = context.AfterFunc(ctx, c.Close) }
+
 // Release returns the connection to the pool after a complete response. It closes the connection instead if
-// the server has sent further bytes, which belong to no request, or has announced the close.
+// the server has sent further bytes, which belong to no request, or has announced the close, or if the context of
+// CloseAfter has ended: its close may follow at any time and must not abort a later request.
 func (c *Conn) Release(response *Response) {
 	if c.closed.Load() {
 		return
 	}
-	if response.closeAfter || c.reader.Buffered() > 0 {
+	attached := c.detach != nil && !c.detach()
+	c.detach = nil
+	if attached || response.closeAfter || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -83,20 +83,17 @@
 	if err != nil {
 		return nil, call.NewRefusal(call.CodePeerFailed, call.NotRun, "%v", err)
 	}
-	stop := context.AfterFunc(ctx, conn.Close)
+	conn.CloseAfter(ctx)
 	response, err := f.exchange(conn, to, req, reserveTimeout)
 	if err != nil {
-		stop()
 		if refusal := (*call.Refusal)(nil); !errors.As(err, &refusal) {
 			conn.Close() // after a refusal, exchange has already released or closed it
 		}
 		return nil, forwardRefusal(ctx, err)
 	}
-	if response.Buffered {
-		stop()
-		return response, nil
+	if !response.Buffered {
+		response.Body = call.OnClose(response.Body, conn.Close)
 	}
-	response.Body = call.OnClose(response.Body, func() { stop(); conn.Close() })
 	return response, nil
 }
 
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -82,18 +82,15 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, ctx.Err())
 	}
 	conn.SetDeadline(req.Deadline.Add(deadlineGrace))
-	stop := context.AfterFunc(ctx, conn.Close)
+	conn.CloseAfter(ctx)
 	response, err := d.exchange(conn, req)
 	if err != nil {
-		stop()
 		conn.Close()
 		return nil, directError(ctx, err)
 	}
-	if response.Buffered {
-		stop()
-		return response, nil
+	if !response.Buffered {
+		response.Body = call.OnClose(response.Body, conn.Close)
 	}
-	response.Body = call.OnClose(response.Body, func() { stop(); conn.Close() })
 	return response, nil
 }
 
