Abort the calls of running requests after those requests

What callers saw: late in a stop, a request that ran on the upstream of the stopping node made a call through the node, and got a 502 for it while the call's upstream was at work.

Cause: calls on open routes are accepted late when they are likely to end, whatever their deadline, and at the end all requests were aborted at the same moment. An upstream gives up the calls of a request that is aborted, but the node was quicker.

Change: requests accepted after the accept period have a context of their own, which ends 0.1 s after that of the others. Requests are aborted 5.4 s after the signal, within the last sixth; their upstreams drop them and hang up the calls; what is left at 5.5 s is aborted as before.

--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -38,7 +38,7 @@
 		return nil, refusal
 	}
 	sender := ctx
-	ctx, cancel := n.withAbort(ctx)
+	ctx, cancel := withAbort(ctx, n.runCtx)
 	end := sync.OnceFunc(func() {
 		cancel()
 		n.forwardedInFlight.Add(-1)
@@ -50,7 +50,7 @@
 	if err != nil {
 		end()
 		refusal := call.AsRefusal(err)
-		if n.abortedByStop(sender, refusal) {
+		if n.abortedByStop(sender, n.runCtx, refusal) {
 			n.log.event("call_cut").Str("request_id", incoming.RequestID).Str("route", incoming.Route).Str("sender", incoming.Sender).
 				Msg("forwarded call aborted by shutdown")
 		}
@@ -62,7 +62,7 @@
 	}
 	stream := &streamedBody{ReadCloser: response.Body}
 	response.Body = call.OnClose(stream, func() {
-		n.logBrokenResponse(sender, &incoming.Context, stream)
+		n.logBrokenResponse(sender, n.runCtx, &incoming.Context, stream)
 		end()
 	})
 	return response, nil
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -84,7 +84,8 @@
 
 // runOnce runs a request that must not run twice. The request is resent only if it has certainly not run.
 func (d *dispatcher) runOnce() (*call.Response, *call.Refusal) {
-	ctx, cancel := d.node.detachedContext(d.entry.req.Deadline)
+	// Not canceled when the client disconnects.
+	ctx, cancel := context.WithDeadline(d.entry.abort, d.entry.req.Deadline)
 	for {
 		choice, ok := d.choose(ctx)
 		if !ok {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -37,6 +37,8 @@
 	req    *call.Request
 	body   *call.ReplayBody
 	start  time.Time
+	// abort ends when the shutdown of this node aborts the request.
+	abort context.Context
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
@@ -49,11 +51,11 @@
 	n.entryInFlight.Add(1)
 	defer n.entryInFlight.Add(-1)
 	start := time.Now()
-	e := &entryRequest{fields: n.headers.TakeRequest(r.Header), start: start}
-	ctx, cancel := n.withAbort(r.Context())
+	e := &entryRequest{fields: n.headers.TakeRequest(r.Header), start: start, abort: n.abortContext()}
+	ctx, cancel := withAbort(r.Context(), e.abort)
 	defer cancel()
 	response, refusal := n.serve(ctx, w, r, e)
-	e.aborted = n.abortedByStop(r.Context(), refusal)
+	e.aborted = n.abortedByStop(r.Context(), e.abort, refusal)
 	elapsed := time.Since(start)
 	n.metrics.recordRequest(refusal, elapsed)
 	n.logRequest(r, e, response, refusal, elapsed)
@@ -67,7 +69,7 @@
 	if !response.Buffered {
 		stream := &streamedBody{ReadCloser: response.Body}
 		response.Body = stream
-		defer func() { n.logBrokenResponse(r.Context(), &e.req.Context, stream) }()
+		defer func() { n.logBrokenResponse(r.Context(), e.abort, &e.req.Context, stream) }()
 	}
 	httpresponse.Write(w, r.Method, response)
 }
@@ -91,11 +93,11 @@
 
 // logBrokenResponse logs a response that was truncated after part of it was sent, unless the receiver
 // disconnected.
-func (n *Node) logBrokenResponse(receiver context.Context, c *call.Context, stream *streamedBody) {
+func (n *Node) logBrokenResponse(receiver, abort context.Context, c *call.Context, stream *streamedBody) {
 	if stream.err == nil || receiver.Err() != nil {
 		return
 	}
-	if n.runCtx.Err() != nil {
+	if abort.Err() != nil {
 		n.aborted.Add(1)
 	}
 	n.metrics.outcomes.Add("answer_broken", 1)
@@ -113,9 +115,9 @@
 	if refusal := n.refuseOverloaded(e); refusal != nil {
 		return nil, refusal
 	}
-	body, err := n.readBody(w, r, e.req.Deadline)
+	body, err := readBody(w, r, e)
 	if err != nil {
-		return nil, n.bodyRefusal(err)
+		return nil, n.bodyRefusal(e, err)
 	}
 	e.body = body
 	if !e.route.Open || e.req.Workspace != "" {
@@ -134,15 +136,15 @@
 
 // readBody reads the request body, buffering it in memory if it fits. Reading is bounded by the deadline and
 // by the abort time of a shutdown.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*call.ReplayBody, error) {
+func readBody(w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.ReplayBody, error) {
 	if r.ContentLength == 0 {
 		return call.NewReplayBody(&call.Request{})
 	}
 	body := httpserver.NewBody(w, r)
-	if err := body.SetDeadline(deadline); err != nil {
+	if err := body.SetDeadline(e.req.Deadline); err != nil {
 		return nil, err
 	}
-	stopAbort := context.AfterFunc(n.runCtx, func() {
+	stopAbort := context.AfterFunc(e.abort, func() {
 		_ = body.SetDeadline(time.Now()) // fails only if the connection is already closed
 	})
 	defer stopAbort()
@@ -241,8 +243,8 @@
 }
 
 // bodyRefusal converts an error reading the client's body into a refusal.
-func (n *Node) bodyRefusal(err error) *call.Refusal {
-	if n.runCtx.Err() != nil {
+func (n *Node) bodyRefusal(e *entryRequest, err error) *call.Refusal {
+	if e.abort.Err() != nil {
 		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stopped before the body arrived", n.settings().Node)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -315,9 +317,3 @@
 	}
 	event.Msg("request")
 }
-
-// detachedContext returns a context that is not canceled when the client disconnects. It ends at the
-// deadline or when the node aborts running requests.
-func (n *Node) detachedContext(deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(n.runCtx, deadline)
-}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -87,8 +87,12 @@
 	// runCtx ends when running requests are aborted. aborted counts the aborted requests that may have run.
 	runCtx       context.Context
 	abortRunning context.CancelFunc
-	aborted      atomic.Int64
-	refusingAll  atomic.Bool // all requests are refused
+	// lateCtx ends when the requests accepted after the accept period are aborted. Among them are calls made by
+	// running requests, which must be aborted first.
+	lateCtx     context.Context
+	abortLate   context.CancelFunc
+	aborted     atomic.Int64
+	refusingAll atomic.Bool // all requests are refused
 
 	configuration     *configuration
 	registry          *registry
@@ -146,6 +150,7 @@
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.runCtx, n.abortRunning = context.WithCancel(context.Background())
+	n.lateCtx, n.abortLate = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
 	n.registry = newRegistry(n)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -16,9 +16,11 @@
 	maxAcceptPeriod = 2500 * time.Millisecond
 	// maxExitMargin is the part of the shutdown timeout reserved for the exit of the process.
 	maxExitMargin = 400 * time.Millisecond
-	// maxResponseMargin is how long before the exit margin running requests are aborted, so that their
+	// maxResponseMargin is how long before the exit margin the last requests are aborted, so that their
 	// responses can still be sent.
 	maxResponseMargin = 100 * time.Millisecond
+	// maxLateAbortDelay is how long an upstream may take to give up the calls of a request that was aborted.
+	maxLateAbortDelay = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping node checks whether requests are still in progress.
 	stopPollInterval = 20 * time.Millisecond
 	// minLateCallTime is the minimum time that must remain of a shutdown to start a call made by a running
@@ -33,15 +35,20 @@
 type shutdownSchedule struct {
 	// acceptUntil is the time until which all requests are accepted.
 	acceptUntil time.Time
-	// abortAt is when requests that are still running are aborted.
+	// abortAt is when running requests that came before acceptUntil are aborted.
 	abortAt time.Time
+	// abortLateAt is when all other requests are aborted.
+	abortLateAt time.Time
 	// deadline is when the remaining connections are closed.
 	deadline time.Time
 }
 
 func (s *Settings) shutdownSchedule(start time.Time) *shutdownSchedule {
 	deadline := start.Add(s.ShutdownTimeout - s.exitMargin())
-	return &shutdownSchedule{acceptUntil: start.Add(s.acceptPeriod()), abortAt: deadline.Add(-s.responseMargin()), deadline: deadline}
+	abortLateAt := deadline.Add(-s.responseMargin())
+	return &shutdownSchedule{
+		acceptUntil: start.Add(s.acceptPeriod()), abortAt: abortLateAt.Add(-s.lateAbortDelay()), abortLateAt: abortLateAt, deadline: deadline,
+	}
 }
 
 // refuseLate refuses requests that a stopping node might be unable to finish: client requests whose deadline
@@ -74,10 +81,18 @@
 	return max(minLateCallTime, hedgeFactor*n.picker.ExpectedLatency(e.req.Service, e.req.Route))
 }
 
-// withAbort returns a context that ends with ctx or when the node aborts running requests.
-func (n *Node) withAbort(ctx context.Context) (context.Context, context.CancelFunc) {
+// abortContext returns the context that ends when the node aborts the requests that arrive now.
+func (n *Node) abortContext() context.Context {
+	if stop := n.shutdownSchedule.Load(); stop != nil && !time.Now().Before(stop.acceptUntil) {
+		return n.lateCtx
+	}
+	return n.runCtx
+}
+
+// withAbort returns a context that ends with ctx or with abort.
+func withAbort(ctx, abort context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(n.runCtx, cancel)
+	stop := context.AfterFunc(abort, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
@@ -86,9 +101,9 @@
 
 // abortedByStop reports whether the shutdown of this node aborted a request that may have run. It changes
 // the refusal of any request aborted by the shutdown to say so. sender is the context of the request's
-// sender.
-func (n *Node) abortedByStop(sender context.Context, refusal *call.Refusal) bool {
-	if refusal == nil || n.runCtx.Err() == nil || sender.Err() != nil {
+// sender, abort that which ends when the request is aborted.
+func (n *Node) abortedByStop(sender, abort context.Context, refusal *call.Refusal) bool {
+	if refusal == nil || abort.Err() == nil || sender.Err() != nil {
 		return false
 	}
 	refusal.Code, refusal.Message = call.CodeDraining, fmt.Sprintf("node %s stopped before the answer", n.settings().Node)
@@ -103,7 +118,8 @@
 // that clients and calls go to other nodes, but serves all requests during the accept period because its
 // upstream may be the only one of its service. After that it refuses forwarded calls and requests that may
 // outlast it, waits for running requests, aborts those that take too long, which still get a response, and
-// removes the node from the registry. Calls made by its own upstream are served until shortly before the end.
+// removes the node from the registry. Calls made by its own upstream are served until shortly before the end, and
+// aborted after the requests that made them.
 // The returned error wraps ErrRequestsAborted if requests were aborted.
 func (n *Node) Stop() error {
 	start := time.Now()
@@ -114,6 +130,8 @@
 	n.registry.publish()
 	abortTimer := time.AfterFunc(time.Until(times.abortAt), n.abortRunningRequests)
 	defer abortTimer.Stop()
+	abortLateTimer := time.AfterFunc(time.Until(times.abortLateAt), n.abortLate)
+	defer abortLateTimer.Stop()
 	time.Sleep(min(time.Until(times.acceptUntil), time.Until(times.abortAt)))
 	n.refusingForwarded.Store(true)
 	n.awaitIdle(times.deadline)
@@ -127,6 +145,7 @@
 	}
 	n.cancel()
 	n.abortRunning()
+	n.abortLate()
 	n.tasks.Wait()
 	n.forwarder.Close()
 	n.upstreams.Close()
@@ -174,6 +193,7 @@
 func (n *Node) Close() {
 	n.cancel()
 	n.abortRunning()
+	n.abortLate()
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -404,3 +405,51 @@
 	must.Eq(t, http.StatusOK, (<-running).status)
 	must.NoError(t, <-stopped)
 }
+
+// Guards against aborting a call late in a stop while the request that made it still waits for it: the request must
+// be aborted first, so that its upstream gives up the call.
+func TestStopAbortsRequestsBeforeTheirCalls(t *testing.T) {
+	var local atomic.Pointer[fleetNode]
+	var f *fleet
+	calls := make(chan result, 10)
+	f = startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/once/long/parent":
+			time.Sleep(1900 * time.Millisecond)
+			request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+local.Load().settings.RequestAddress+"/open/long/slow", nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			request.Host = "h.example"
+			request.Header.Set("Request-Id", r.Header.Get("Request-Id")+".call")
+			request.Header.Set("Timeout-Ms", "8000")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				calls <- result{err: err}
+				return
+			}
+			_ = response.Body.Close()
+			calls <- result{status: response.StatusCode}
+		case "/open/long/slow":
+			<-r.Context().Done()
+		default:
+			respond(w, r)
+		}
+	}))
+	local.Store(f.nodes[0])
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(2, false)))
+	f.setShutdownTimeout(3 * time.Second)
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodGet, "/open/long/a", "before", "", time.Second).status)
+	const parents = 4 // each needs two of the upstream's slots
+	for i := range parents {
+		go f.send(f.nodes[0], http.MethodPost, "/once/long/parent", fmt.Sprint("p", i), "key-1", 10*time.Second)
+	}
+	time.Sleep(100 * time.Millisecond)
+	must.Error(t, f.nodes[0].stopAndClose())
+	for range parents {
+		got := <-calls
+		must.Zero(t, got.status, must.Sprint("call aborted before its request"))
+		must.ErrorIs(t, got.err, context.Canceled)
+	}
+}
--- a/sidecar/timing.go
+++ b/sidecar/timing.go
@@ -22,10 +22,11 @@
 	// acceptPeriodDivisor bounds the accept period to a fraction of the shutdown timeout; the rest is left
 	// for running requests.
 	acceptPeriodDivisor = 2
-	// exitMarginDivisor and responseMarginDivisor bound the margins at the end of a short shutdown timeout.
-	// Together the margins stay below its last sixth, in which running requests may be aborted.
+	// These divisors bound the margins at the end of a short shutdown timeout. Together the margins stay below its
+	// last sixth, in which running requests may be aborted.
 	exitMarginDivisor     = 12
 	responseMarginDivisor = 48
+	lateAbortDelayDivisor = 48
 )
 
 // DefaultSettings returns settings with defaults for the durations that operators need not set.
@@ -73,7 +74,12 @@
 // the exit of the process.
 func (s *Settings) deregisterTimeout() time.Duration { return s.exitMargin() / 2 }
 
-// responseMargin returns the time between the abort of running requests and the closing of connections.
+// lateAbortDelay returns the time between the abort of running requests and that of late ones.
+func (s *Settings) lateAbortDelay() time.Duration {
+	return min(maxLateAbortDelay, s.ShutdownTimeout/lateAbortDelayDivisor)
+}
+
+// responseMargin returns the time between the last abort of requests and the closing of connections.
 func (s *Settings) responseMargin() time.Duration {
 	return min(maxResponseMargin, s.ShutdownTimeout/responseMarginDivisor)
 }
--- a/sidecar/timing_test.go
+++ b/sidecar/timing_test.go
@@ -31,11 +31,11 @@
 	must.Positive(t, unbound.acceptPeriod())
 }
 
-// The exit and response margins take less than the last sixth of a short shutdown timeout.
+// The margins at the end of a shutdown take less than the last sixth of a short shutdown timeout.
 func TestStopMarginsFollowShutdownTimeout(t *testing.T) {
 	for _, timeout := range []time.Duration{600 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, 30 * time.Second} {
 		s := Settings{ShutdownTimeout: timeout}
-		margin := s.exitMargin() + s.responseMargin()
+		margin := s.exitMargin() + s.responseMargin() + s.lateAbortDelay()
 		must.Positive(t, margin)
 		must.Less(t, timeout/6, margin, must.Sprint(timeout))
 	}
