Take no request for an upstream's call while the upstream is idle

What callers saw: a client's request on an open route, sent late in a stop and with a deadline after it, was accepted and ended with a 502 at the end of the stop.

Cause: late in a stop every request on an open route was taken for a call made by a request that runs on the node's upstream. Only without workspaces did the node check that the upstream runs something.

Change: it checks that in both cases. Such a request is refused as not run.

Evidence: TestStopRefusesLateClientsOnOpenRoutes on: expected 503, got 502: draining (may_have_run): node n0 stopped before the answer It passes with the change, as do all tests of sidecar whose names contain Stop or Late, with -race.

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -70,10 +70,10 @@
 }
 
 // mayBeUpstreamCall reports whether a request may have been made by a request that is running on the
-// upstream of this VM. In a keyless configuration clients send no keys either, so every request qualifies
-// while the upstream is busy.
+// upstream of this VM. Clients send no keys on open routes and in a keyless configuration either, so every
+// request without one qualifies while the upstream is busy.
 func (n *Node) mayBeUpstreamCall(e *entryRequest) bool {
-	return e.route.Open || n.configuration.document().Keyless && n.local.busy()
+	return (e.route.Open || n.configuration.document().Keyless) && n.local.busy()
 }
 
 // slowCallDuration returns a duration that calls of the route rarely exceed.
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -453,3 +453,32 @@
 		must.ErrorIs(t, got.err, context.Canceled)
 	}
 }
+
+// Guards against accepting a client's request on an open route late in a stop and aborting it: while the upstream is
+// idle, it cannot be a call made by a running request.
+func TestStopRefusesLateClientsOnOpenRoutes(t *testing.T) {
+	f := startFleet(t, 2, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			respondAfter(time.Minute)(w, r)
+			return
+		}
+		respond(w, r)
+	}))
+	f.setShutdownTimeout(3 * time.Second)
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(2, true))) // the other upstream runs all requests
+	time.Sleep(300 * time.Millisecond)
+	go f.send(f.nodes[0], http.MethodPost, "/once/long/slow", "slow", "key-1", 10*time.Second) // keeps the node from exiting early
+	f.eventually(func() error {
+		if len(f.nodes[1].upstream.requests()) == 0 {
+			return errors.New("not running yet")
+		}
+		return nil
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].stopAndClose() }()
+	time.Sleep(1800 * time.Millisecond) // after the accept period
+	got := f.send(f.nodes[0], http.MethodGet, "/open/long/slow", "late", "", 10*time.Second)
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusServiceUnavailable, got.status, must.Sprint(got.body))
+	must.ErrorIs(t, <-stopped, sidecar.ErrRequestsAborted) // the first request
+}
