--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -404,3 +405,80 @@
 	must.Eq(t, http.StatusOK, (<-running).status)
 	must.NoError(t, <-stopped)
 }
+
+// Guards against aborting a call late in a stop while the request that made it still waits for it: the request must
+// be aborted first, so that its upstream gives up the call.
+func TestStopAbortsRequestsBeforeTheirCalls(t *testing.T) {
+	var local atomic.Pointer[fleetNode]
+	var f *fleet
+	calls := make(chan result, 10)
+	f = startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/once/long/parent":
+			time.Sleep(1900 * time.Millisecond)
+			request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+local.Load().settings.RequestAddress+"/open/long/slow", nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			request.Host = "h.example"
+			request.Header.Set("Request-Id", r.Header.Get("Request-Id")+".call")
+			request.Header.Set("Timeout-Ms", "8000")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				calls <- result{err: err}
+				return
+			}
+			_ = response.Body.Close()
+			calls <- result{status: response.StatusCode}
+		case "/open/long/slow":
+			<-r.Context().Done()
+		default:
+			respond(w, r)
+		}
+	}))
+	local.Store(f.nodes[0])
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(2, false)))
+	f.setShutdownTimeout(3 * time.Second)
+	must.Eq(t, http.StatusOK, f.send(f.nodes[0], http.MethodGet, "/open/long/a", "before", "", time.Second).status)
+	const parents = 4 // each needs two of the upstream's slots
+	for i := range parents {
+		go f.send(f.nodes[0], http.MethodPost, "/once/long/parent", fmt.Sprint("p", i), "key-1", 10*time.Second)
+	}
+	time.Sleep(100 * time.Millisecond)
+	must.Error(t, f.nodes[0].stopAndClose())
+	for range parents {
+		got := <-calls
+		must.Zero(t, got.status, must.Sprint("call aborted before its request"))
+		must.ErrorIs(t, got.err, context.Canceled)
+	}
+}
+
+// Guards against accepting a client's request on an open route late in a stop and aborting it: while the upstream is
+// idle, it cannot be a call made by a running request.
+func TestStopRefusesLateClientsOnOpenRoutes(t *testing.T) {
+	f := startFleet(t, 2, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			respondAfter(time.Minute)(w, r)
+			return
+		}
+		respond(w, r)
+	}))
+	f.setShutdownTimeout(3 * time.Second)
+	must.NoError(t, f.nodes[0].node.Heartbeat(f.nodes[0].beat(2, true))) // the other upstream runs all requests
+	time.Sleep(300 * time.Millisecond)
+	go f.send(f.nodes[0], http.MethodPost, "/once/long/slow", "slow", "key-1", 10*time.Second) // keeps the node from exiting early
+	f.eventually(func() error {
+		if len(f.nodes[1].upstream.requests()) == 0 {
+			return errors.New("not running yet")
+		}
+		return nil
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].stopAndClose() }()
+	time.Sleep(1800 * time.Millisecond) // after the accept period
+	got := f.send(f.nodes[0], http.MethodGet, "/open/long/slow", "late", "", 10*time.Second)
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusServiceUnavailable, got.status, must.Sprint(got.body))
+	must.ErrorIs(t, <-stopped, sidecar.ErrRequestsAborted) // the first request
+}
