node: a silent store does not delay a stop past the shutdown timeout

What operators saw: a cowslipd that owns quota shards and is stopped while the store accepts calls and does not answer them is still there at the end of shutdown_timeout_ms. A supervisor that kills it at that time does so before its members are told that it left.

Cause: revoking the shard leases, handing the shards over and leaving the member list were bounded by the context of the stop, which ends with the timeout itself, so nothing was left for the exit.

Evidence: TestStopWithSilentStore failed before: stop_test.go:268: expected 2.001565675s < 2s

Fix: these steps share one deadline 100 ms before the timeout, inside the margin that running requests do not have anyway, so no request is aborted earlier than before.

--- a/node/stop.go
+++ b/node/stop.go
@@ -21,8 +21,10 @@
 const (
 	// responseMargin is the time for responses to aborted requests: a few round trips between nodes.
 	responseMargin = 300 * time.Millisecond
-	// exitMargin is the time for returning rate tokens and leaving the member list.
+	// exitMargin is the time for returning rate tokens, leaving the member list and the exit of the process.
 	exitMargin = 200 * time.Millisecond
+	// minExitTime is the part of exitMargin that a slow store or member cannot use up.
+	minExitTime = 100 * time.Millisecond
 	// minLateCallTime is the minimum time that must remain until abortAt to start a downstream call. Most calls
 	// take a few tens of milliseconds.
 	minLateCallTime = 500 * time.Millisecond
@@ -179,9 +181,11 @@
 		n.log.Warn().Int("requests", count).Msg("requests aborted at the shutdown timeout")
 		errs = append(errs, fmt.Errorf("%w: %d requests aborted", ErrShutdownTimeout, count))
 	}
-	n.quota.stop(ctx)
-	n.quota.shards.stop(ctx)
-	n.membership.leave(ctx)
+	leaveCtx, cancelLeave := context.WithDeadline(ctx, deadline.Add(-minExitTime))
+	defer cancelLeave()
+	n.quota.stop(leaveCtx)
+	n.quota.shards.stop(leaveCtx)
+	n.membership.leave(leaveCtx)
 	n.stopTasks()
 	n.tasks.Wait()
 	n.peers.Close()
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -252,6 +252,22 @@
 	must.Less(t, 3*time.Second, time.Since(s.began))
 }
 
+// Guards against a store that does not respond and delays a stop until the process is killed.
+func TestStopWithSilentStore(t *testing.T) {
+	const shutdownTimeout = 2 * time.Second
+	f := newFleet(t, 1)
+	shards := f.nodes[0].quota.shards
+	f.eventually("node owns shards", func() bool {
+		shards.mu.Lock()
+		defer shards.mu.Unlock()
+		return len(shards.owned) > 1
+	})
+	f.store.SetDelay(time.Hour)
+	s := f.beginStop(t, 0, shutdownTimeout)
+	must.NoError(t, s.wait())
+	must.Less(t, shutdownTimeout, time.Since(s.began))
+}
+
 // syncBuffer is a concurrent buffer for the log of a node.
 type syncBuffer struct {
 	mu     sync.Mutex
