signals: a stop does not wait for the end of a reload

What operators saw: a process whose settings reload does not end, for example because the read of the file blocks, ignores SIGTERM and is killed at the end of its shutdown timeout with all its requests. A slow reload delays the stop, whose schedule starts when the reload ends.

Cause: WaitForStop ran the reload in the goroutine that receives the stop signals.

Evidence: TestStopDuringStuckReload of cowslip-sidecar, in which the settings file is a FIFO without a writer's data, failed before: main_test.go:95: command still running 6s after SIGTERM and signals.TestStopDuringReload in its present form: signals_test.go:59: timed out waiting for stop

Fix: reloads run in their own goroutine until the stop. Both kinds of reload may already run beside a stop: the sidecar polls its settings and guards their publication, and cowslipd replaces its secrets while it serves.

signals.TestStopDuringReload required that the stop waits for the reload; it now requires that it does not, and still that the stop signal is not dropped and that the pending reload does not run. signalstest.StopDuringReload does what it did, and can leave the reload blocked.

--- a/cmd/cowslip-sidecar/main_test.go
+++ b/cmd/cowslip-sidecar/main_test.go
@@ -56,9 +56,12 @@
 quotaSlack = 10
 `
 
-// Guards against losing a SIGTERM that arrives while a reload is in progress.
-func TestStopDuringReload(t *testing.T) {
-	const shutdownTimeout = 6 * time.Second
+// shutdownTimeout is the timeout of the commands that the tests start.
+const shutdownTimeout = 6 * time.Second
+
+// newCommand returns a command with its own settings file, and the file and an address that it listens on.
+func newCommand(t *testing.T) (cmd *exec.Cmd, path, address string) {
+	t.Helper()
 	var addresses [7]string
 	for i := range addresses {
 		free, err := freeport.Address()
@@ -71,11 +74,23 @@
 	for _, address := range addresses[1:] {
 		args = append(args, address)
 	}
-	path := filepath.Join(t.TempDir(), "settings.toml")
+	path = filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(settingsFile, append(args, shutdownTimeout.Seconds())...)
 	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	// Race builds otherwise exit one second later.
-	cmd := exec.Command("cowslip-sidecar", "--settings", path)
+	cmd = exec.Command("cowslip-sidecar", "--settings", path)
 	cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
-	signalstest.StopDuringReload(t, cmd, path, addresses[3], shutdownTimeout)
+	return cmd, path, addresses[3]
+}
+
+// Guards against losing a SIGTERM that arrives while a reload is in progress.
+func TestStopDuringReload(t *testing.T) {
+	cmd, path, address := newCommand(t)
+	signalstest.StopDuringReload(t, cmd, path, address, shutdownTimeout, true)
+}
+
+// Guards against a reload that does not end and delays a stop until the process is killed.
+func TestStopDuringStuckReload(t *testing.T) {
+	cmd, path, address := newCommand(t)
+	signalstest.StopDuringReload(t, cmd, path, address, shutdownTimeout, false)
 }
--- a/cmd/cowslipd/main_test.go
+++ b/cmd/cowslipd/main_test.go
@@ -84,5 +84,5 @@
 	text := fmt.Sprintf(settingsFile, append(addresses[:], shutdownTimeout.Milliseconds())...)
 	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	cmd := exec.Command("cowslipd", "--config", path)
-	signalstest.StopDuringReload(t, cmd, path, addresses[0].(string), shutdownTimeout)
+	signalstest.StopDuringReload(t, cmd, path, addresses[0].(string), shutdownTimeout, true)
 }
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -25,16 +25,28 @@
 
 // WaitForStop blocks until a stop signal is received or returns at once if one is pending. Until then it calls
 // reload on SIGHUP. Any number of SIGHUPs during a reload cause one further reload. A pending stop takes
-// precedence over a pending reload.
+// precedence over a pending reload and does not wait for a running one, which may end later or never.
 func (s *Signals) WaitForStop(reload func()) {
+	select {
+	case <-s.stop:
+		return
+	default:
+	}
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go s.runReloads(reload, stopped)
+	<-s.stop
+}
+
+func (s *Signals) runReloads(reload func(), stopped <-chan struct{}) {
 	for {
 		select {
-		case <-s.stop:
+		case <-stopped:
 			return
 		default:
 		}
 		select {
-		case <-s.stop:
+		case <-stopped:
 			return
 		case <-s.reload:
 			reload()
--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,26 +37,32 @@
 	}
 }
 
-// Guards against dropping a stop signal that arrives while one reload is running and another is pending.
+// Guards against a stop signal that waits for the end of a reload or is dropped while a further reload is pending.
+// The pending reload must not start after the stop.
 func TestStopDuringReload(t *testing.T) {
 	s := Notify()
-	started, release := make(chan struct{}), make(chan struct{})
-	reloads := 0
+	started, release, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var reloads atomic.Int32
 	done := startWait(s, func() {
-		reloads++
+		reloads.Add(1)
 		close(started)
 		<-release
+		close(ended)
 	})
 	send(t, syscall.SIGHUP)
 	await(t, "reload", started)
-	send(t, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM)
-	for len(s.stop) == 0 || len(s.reload) == 0 {
+	send(t, syscall.SIGHUP, syscall.SIGHUP)
+	for len(s.reload) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	close(release)
+	send(t, syscall.SIGTERM, syscall.SIGTERM)
 	await(t, "stop", done)
-	must.Eq(t, 1, reloads)
+	close(release)
+	await(t, "end of reload", ended)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 1, reloads.Load())
 	send(t, syscall.SIGTERM, syscall.SIGINT) // would kill the process if the default handlers were restored
+	time.Sleep(100 * time.Millisecond)
 }
 
 // A stop signal that arrives during startup, after a SIGHUP, must take effect once the daemon waits.
--- a/internal/signals/signalstest/reload.go
+++ b/internal/signals/signalstest/reload.go
@@ -23,8 +23,8 @@
 
 // StopDuringReload starts a command that reads the settings file and listens on address. It blocks the command
 // in a reload while another reload is pending, sends SIGTERM twice, and fails the test unless the command then
-// exits with code 0 within the timeout.
-func StopDuringReload(t *testing.T, cmd *exec.Cmd, settings, address string, timeout time.Duration) {
+// exits with code 0 within the timeout. The reload ends after the signals if finish is set, and never otherwise.
+func StopDuringReload(t *testing.T, cmd *exec.Cmd, settings, address string, timeout time.Duration, finish bool) {
 	t.Helper()
 	must.NoError(t, cmd.Start())
 	exited := make(chan error, 1)
@@ -40,13 +40,16 @@
 	must.NoError(t, os.Rename(fifo, settings))
 	must.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 	writer := awaitReader(t, settings)
+	defer writer.Close()
 	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
 		must.NoError(t, cmd.Process.Signal(signal))
 		time.Sleep(deliveryTime)
 	}
-	_, err = writer.Write(text)
-	must.NoError(t, err)
-	must.NoError(t, writer.Close())
+	if finish {
+		_, err = writer.Write(text)
+		must.NoError(t, err)
+		must.NoError(t, writer.Close())
+	}
 	time.Sleep(deliveryTime)
 	_ = cmd.Process.Signal(syscall.SIGTERM) // during the shutdown or after it
 	select {
