sidecar: let the test of a node's entry read the configuration

TestRestoredStoreEntry waited for the node to notice the restore, which only a response of the store shows. In the case of a lease that another node holds, no call may be due for a while; a real node also reads the configuration, and so does the one in the test now. What it checks is unchanged.

--- a/sidecar/restored_test.go
+++ b/sidecar/restored_test.go
@@ -137,7 +137,7 @@
 			store := kvstore.NewMemory(time.Now)
 			backup := store.Backup()
 			n := startTasks(t, store, func(n *Node) []func(context.Context) {
-				return []func(context.Context){n.registry.runPublish, n.registry.runWatch}
+				return []func(context.Context){n.registry.runPublish, n.registry.runWatch, n.configuration.run}
 			})
 			writes := func(sequence int64) {
 				t.Helper()
