sidecar: an age that overflows no longer makes a configuration fresh

By test: an exchange with an age of the configuration near the largest 64-bit number confirmed the receiver's configuration as just read, so that withdrawn keys could have stayed in use beyond their time.

Cause: the age in microseconds was multiplied up to a duration without a bound and wrapped around.

Evidence, before the fix: TestGossipAgeOverflow failed with gossip_test.go:132: expected condition to be false; is true

Fix: peer.DecodeAge, which other ages in messages go through, takes odd ages for an hour.

--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -336,7 +336,7 @@
 	if state.ConfigurationAgeUs < 0 {
 		return
 	}
-	at := startedAt.Add(-time.Duration(state.ConfigurationAgeUs) * time.Microsecond)
+	at := startedAt.Add(-peer.DecodeAge(state.ConfigurationAgeUs))
 	if len(state.Configuration) > 0 && state.ConfigurationRevision > g.node.configuration.revision() {
 		if err := g.node.configuration.update(state.Configuration, at, "peer "+state.Node); err != nil {
 			g.node.log.event("configuration_rejected").Str("from", state.Node).Err(err).Msg("invalid peer configuration ignored")
--- a/sidecar/gossip_test.go
+++ b/sidecar/gossip_test.go
@@ -119,3 +119,16 @@
 	must.Eq(t, 100, admitted, must.Sprint("the burst"))
 	must.Eq(t, call.RankLimit, n.limits.Strictest("r", "s", time.Now()).ShedFrom)
 }
+
+// Guards against taking a configuration for new because a peer reports an age that overflows.
+func TestGossipAgeOverflow(t *testing.T) {
+	n := testNode("a", 1)
+	n.configuration.current.Store(&activeConfiguration{document: &config.Document{Revision: 3}})
+	for _, us := range []int64{math.MaxInt64, math.MaxInt64 / 1000, 1 << 54, 1 << 62, -1, math.MinInt64} {
+		_, err := n.gossip.Exchange(t.Context(), &gossipv1.State{
+			Node: "b", Registration: registrationWith(nil), ConfigurationRevision: 3, ConfigurationAgeUs: us,
+		})
+		must.NoError(t, err)
+		must.False(t, n.configuration.freshWithin(time.Minute), must.Sprint(us))
+	}
+}
