node: release shards beside a malformed owner key

What operators saw, by test only: the release of a dead node's quota shards failed for all of them while the owner key of any shard, of any failure domain, could not be decoded.

Cause: the first entry that did not decode ended the operation.

Evidence, before the fix: TestShardReleaseBesideOddEntry failed with error: node: owner of quota shard fd-x/0: unexpected end of JSON input

Fix: such an entry names no owner. It is logged and left as it is, and the others are released. TestShardRelease and the new test passed with -race.

--- a/node/operator.go
+++ b/node/operator.go
@@ -121,7 +121,8 @@
 		shard := strings.TrimPrefix(entry.Key, shardOwnerPrefix)
 		var record shardRecord
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
-			return released, fmt.Errorf("node: owner of quota shard %s: %w", shard, err)
+			n.log.Warn().Str("shard", shard).Err(err).Msg("owner of quota shard is malformed; skipped")
+			continue
 		}
 		if record.Node != name {
 			continue
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -98,3 +99,22 @@
 		return err == nil && fmt.Sprint(string(term.Value)) == "2"
 	})
 }
+
+// Guards against shards of a crashed node that cannot be released because another owner key is malformed.
+func TestShardReleaseBesideOddEntry(t *testing.T) {
+	f := newFleet(t, 1)
+	record, err := json.Marshal(shardRecord{Node: "node-9", Incarnation: 1, Address: "127.0.0.1:1"})
+	must.NoError(t, err)
+	for shard, value := range map[string][]byte{
+		"fd-x/0": []byte("{"), "fd-x/1": []byte(`{"node":"node-9","incarnation":1e99}`), "fd-x/2": record,
+		"fd-x/3": bytes.Repeat([]byte("["), 1<<20),
+	} {
+		_, err = f.store.CompareAndSwap(t.Context(), shardOwnerPrefix+shard, 0, value, kvstore.NoLease)
+		must.NoError(t, err)
+	}
+	released, err := f.nodes[0].ReleaseShards(t.Context(), "node-9", "test")
+	must.NoError(t, err)
+	must.Eq(t, []string{"fd-x/2"}, released)
+	_, err = f.store.Get(t.Context(), shardOwnerPrefix+"fd-x/0")
+	must.NoError(t, err, must.Sprint("an entry that names no owner stays"))
+}
