sidecar: admit keys only after the exchange with other nodes

A node that starts beside a restored store reads the configuration of the backup and admitted keys that it still holds, though the other nodes had had a newer one in force without them: withdrawn keys were accepted from the first milliseconds on until the first exchanges, 0.1 to 0.5 s later. The time limit of a withdrawn key holds for all nodes.

Keyed requests now wait until the node has learned what the others know: its first round of exchanges has ended, which takes 0.1 s, or another node has reported its shares, or the list of nodes is empty. A peer that does not know the node yet sends its revision without the document; until the document comes, the node admits no keys either. Others are refused as before a configuration is known, with 503.

A restart of all nodes leaves nobody who knows the newer configuration.

--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -194,6 +194,13 @@
 	return true
 }
 
+// Joined reports whether this node holds shares.
+func (s *Shares) Joined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.joined
+}
+
 // joinWithEvenShare takes an even share when no reachable node holds any, as after a start of the entire fleet.
 func (s *Shares) joinWithEvenShare(now time.Time) {
 	contacted := 0
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -48,7 +48,9 @@
 	mu sync.Mutex
 	// confirmedAt is when the revision was last known to be the newest, on the lease clock.
 	confirmedAt time.Time
-	loaded      chan struct{} // closed when the first configuration is loaded
+	// announced is the newest revision that another node has in force, as far as known without its document.
+	announced int64
+	loaded    chan struct{} // closed when the first configuration is loaded
 }
 
 func newConfiguration(n *Node) *configuration {
@@ -84,10 +86,18 @@
 	return ok && age <= d
 }
 
-// admitsKeys reports whether keyed requests may be admitted.
+// admitsKeys reports whether keyed requests may be admitted. A node that has just started waits for the other nodes, as
+// a restored store may return a configuration older than theirs.
 func (c *configuration) admitsKeys() bool {
 	maxAge := c.node.settings().maxKeyConfigurationAge()
-	return maxAge <= 0 || c.freshWithin(maxAge)
+	return maxAge <= 0 || c.node.gossip.hasJoined() && !c.outdated() && c.freshWithin(maxAge)
+}
+
+// outdated reports whether another node has a newer configuration.
+func (c *configuration) outdated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document().Revision < c.announced
 }
 
 // errOutdatedConfiguration means that a configuration is older than the one in force.
@@ -124,6 +134,7 @@
 func (c *configuration) confirm(revision int64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.announced = max(c.announced, revision)
 	if revision == c.document().Revision && revision != 0 && at.After(c.confirmedAt) {
 		c.confirmedAt = at
 	}
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
@@ -41,6 +42,8 @@
 type gossip struct {
 	node   *Node
 	client *http.Client
+	// roundCompleted is set after the first round of exchanges with the other nodes, or when there are none.
+	roundCompleted atomic.Bool
 
 	// The registry locks mu while it holds its own lock, so no method of it may be called while mu is locked.
 	mu    sync.Mutex
@@ -105,10 +108,14 @@
 	joined := false
 	for ctx.Err() == nil {
 		var round sync.WaitGroup
+		listed := g.node.registry.isListed()
 		for _, target := range g.targets() {
 			round.Go(func() { g.exchange(ctx, target) })
 		}
 		round.Wait()
+		if listed {
+			g.roundCompleted.Store(true)
+		}
 		joinedBefore := joined
 		joined = g.node.shares.Reconcile(time.Now())
 		switch {
@@ -121,6 +128,9 @@
 	}
 }
 
+// hasJoined reports whether the node has learned from the other nodes what they know, as far as it reaches them.
+func (g *gossip) hasJoined() bool { return g.roundCompleted.Load() || g.node.shares.Joined() }
+
 // targets returns the nodes to contact in this round, least recently contacted first. In a large fleet, those of
 // other failure domains have their turn less often. Of each pair, one node initiates the exchange; the other does
 // so only if no exchange has taken place for two share cycles.
@@ -332,7 +342,7 @@
 }
 
 // applyConfiguration applies a newer configuration from a peer, or the age of the peer's configuration if
-// the revision is the same.
+// the revision is the same. A peer that does not know this node yet sends only the revision.
 func (g *gossip) applyConfiguration(state *gossipv1.State, startedAt time.Time) {
 	if state.ConfigurationAgeUs < 0 {
 		return
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -225,6 +225,13 @@
 	return list
 }
 
+// isListed reports whether the other nodes were listed, or one of them was contacted.
+func (r *registry) isListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
 // controlAddress returns the address for control messages to a node, or an empty string if the node is
 // unknown.
 func (r *registry) controlAddress(node string) string {
@@ -385,7 +392,11 @@
 	}
 	r.mu.Lock()
 	r.listed, r.dirty = true, true
+	alone := len(r.members) == 0
 	r.mu.Unlock()
+	if alone {
+		r.node.gossip.roundCompleted.Store(true)
+	}
 	r.applyMembership()
 	return revision, nil
 }
