soak: inject heads that break off and refusals that are repeated

Upstreams of the soak now close in the middle of a response head, and write an earlier refusal before the response on a reused connection. The two have a schedule of their own, so the others stay as they are.

No violation names a head that broke off, before or after.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,6 +37,8 @@
 	stopFaultInterval = 4 * time.Second
 	// endlessFaultInterval is the mean time between the starts of two endlessFaults.
 	endlessFaultInterval = 4 * time.Second
+	// malformedFaultInterval is the mean time between the starts of two malformedFaults.
+	malformedFaultInterval = 2 * time.Second
 	// Faults last from minFaultDuration to maxFaultDuration, which exceeds the bound on key withdrawal.
 	minFaultDuration = 300 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
@@ -190,6 +192,11 @@
 	return []fault{upstreamFault(failureEndlessHeader), upstreamFault(failureEndlessBody)}
 }
 
+// malformedFaults returns responses that are no response to their request.
+func malformedFaults() []fault {
+	return []fault{upstreamFault(failureTruncatedHeader), upstreamFault(failureRepeatedRefusal)}
+}
+
 // withdrawKey withdraws the first key of a random workspace unless it is the only one. Clients keep using it.
 func withdrawKey(d *deployment, _ *node, random *rand.Rand) func() {
 	workspace := fmt.Sprintf("w%d", random.IntN(2))
@@ -239,7 +246,7 @@
 		kinds        []fault
 		meanInterval time.Duration
 		stream       uint64
-	}{{faults(), faultInterval, faultStream}, {stopFaults(), stopFaultInterval, stopStream}, {endlessFaults(), endlessFaultInterval, endlessStream}} {
+	}{{faults(), faultInterval, faultStream}, {stopFaults(), stopFaultInterval, stopStream}, {endlessFaults(), endlessFaultInterval, endlessStream}, {malformedFaults(), malformedFaultInterval, malformedStream}} {
 		random := rand.New(rand.NewPCG(d.config.Seed, s.stream))
 		schedules.Go(func() { count.Add(int64(d.runSchedule(ctx, s.kinds, s.meanInterval, random))) })
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,6 +113,7 @@
 	storeStream
 	stopStream
 	endlessStream
+	malformedStream
 )
 
 func (c *Config) logPath(node string) string { return filepath.Join(c.Dir, node+".log") }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,8 +35,15 @@
 	// failureEndlessHeader and failureEndlessBody send bytes until the caller closes the connection.
 	failureEndlessHeader failureMode = "endless head"
 	failureEndlessBody   failureMode = "endless body"
+	// failureTruncatedHeader closes the connection in the middle of a response header.
+	failureTruncatedHeader failureMode = "cut head"
+	// failureRepeatedRefusal sends a refusal of an earlier request before the response on a reused connection.
+	failureRepeatedRefusal failureMode = "repeated refusal"
 )
 
+// requestCountKey is the context key of the number of requests on a connection.
+type requestCountKey struct{}
+
 const (
 	upstreamSlots     = 16
 	heartbeatInterval = 500 * time.Millisecond
@@ -87,7 +95,12 @@
 	u.instance = "i-" + strconv.FormatUint(rand.Uint64(), 36)
 	u.startedMS, u.sequence, u.draining, u.inFlight, u.failure = time.Now().UnixMilli(), 0, false, 0, failureNone
 	instance := u.instance
-	u.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, instance) })}
+	u.server = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, instance) }),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, requestCountKey{}, &atomic.Int64{})
+		},
+	}
 	u.stopHeartbeats = cancel
 	server := u.server
 	go func() { _ = server.Serve(listener) }()
@@ -176,9 +189,14 @@
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request, instance string) {
 	w.Header().Set("Instance-Id", instance)
+	count, ok := r.Context().Value(requestCountKey{}).(*atomic.Int64)
+	reused := ok && count.Add(1) > 1
 	u.mu.Lock()
 	mode, draining, full := u.failure, u.draining, u.inFlight >= upstreamSlots
 	u.mu.Unlock()
+	if mode == failureRepeatedRefusal && !reused {
+		mode = failureNone // the first response on a connection is taken for that to its first request
+	}
 	if r.URL.Path == healthPath {
 		if draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -254,6 +272,17 @@
 		return
 	}
 	body := responseBody(run.ID)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n", run.ID, signature(run.Instance, body))
+	switch mode {
+	case failureTruncatedHeader:
+		writeRaw(w, head+"Content-Len")
+		return
+	case failureRepeatedRefusal:
+		u.deployment.history.recordStatus(run, http.StatusOK)
+		writeRaw(w, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+			head, len(body), body))
+		return
+	}
 	w.Header().Set("Response-Signature", signature(run.Instance, body))
 	if u.deployment.config.Defect == DefectTruncate {
 		body = body[:len(body)/2]
@@ -272,6 +301,17 @@
 	}
 }
 
+// writeRaw sends text in place of a response and closes the connection.
+func writeRaw(w http.ResponseWriter, text string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString(text)
+	_ = buffered.Flush() // the node may have exited
+}
+
 // writeEndlessHeader sends a response header field that does not end.
 func writeEndlessHeader(w http.ResponseWriter) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
