--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,7 +56,7 @@
 			t.Parallel()
 			report, err := Run(t.Context(), testConfig(t, seed))
 			must.NoError(t, err)
-			must.SliceEmpty(t, report.Violations, must.Sprint(cause))
+			must.SliceEmpty(t, report.Violations, must.Sprintf("%s: %+v", cause, report.Violations))
 		})
 	}
 }
