upstream: a health probe ends with its context

A node whose first configuration arrives late in its stop probes its upstream. If the upstream accepts the connection and does not answer, the stop waits for the probe, up to 1 s, after it has used the time of its schedule.

Cause: Probe took the deadline of its context, but not its end.

Evidence: TestProbeEndsWithContext failed before: direct_test.go:368: expected 2.000335578s < 1s

Fix: the connection is closed when the context ends, as it is for calls.

--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -164,6 +164,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		conn.SetDeadline(deadline)
 	}
+	conn.CloseAfter(ctx)
 	head := httpconn.Head{Method: http.MethodGet, Target: path, Host: address, Header: http.Header{}}
 	if err := conn.WriteHead(&head); err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrConnectionLost, err)
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -354,3 +354,16 @@
 	callers.Wait()
 	must.Zero(t, failed.Load())
 }
+
+// Guards against a probe of a silent upstream that delays the end of its node.
+func TestProbeEndsWithContext(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	start := time.Now()
+	_, _, err = newDirectClient().Probe(ctx, listener.Addr().String(), "/health")
+	must.Error(t, err)
+	must.Less(t, time.Second, time.Since(start))
+}
