sidecar: a log that nothing reads does not delay the exit

What operators saw: a process whose standard output is a full pipe does not exit after its stop and is killed at the end of its shutdown timeout. No request is lost by it, but the supervisor sees a failed stop.

Cause: the log writer never blocks its producers, but its Close waits for the write in progress.

Evidence: TestStopWithBlockedLog failed before: log_test.go:37: command still running 6s after SIGTERM

Fix: Close waits for at most 50 ms, which is part of the exit margin.

--- a/sidecar/log.go
+++ b/sidecar/log.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 const (
 	// logBufferLines is the number of lines buffered for a slow log reader; further lines are dropped.
 	logBufferLines = 1024
+	// logCloseTimeout bounds the time for writing the buffered lines. It is part of maxExitMargin.
+	logCloseTimeout = 50 * time.Millisecond
 	// linesPerSecond bounds the lines of one kind. Writing a line costs a few microseconds of CPU time.
 	linesPerSecond = 20
 	// answeredPerSecond bounds the lines of successful requests, which would otherwise displace the others
@@ -22,9 +25,26 @@
 )
 
 // NewLogWriter returns a writer that never blocks. It drops lines that do not fit into its buffer and passes
-// their number to dropped.
+// their number to dropped. Close waits only briefly for the buffered lines.
 func NewLogWriter(w io.Writer, dropped func(int)) io.WriteCloser {
-	return diode.NewWriter(w, logBufferLines, 0, dropped)
+	return logWriter{diode.NewWriter(w, logBufferLines, 0, dropped)}
+}
+
+type logWriter struct{ diode.Writer }
+
+// errLogBlocked means that buffered lines were not written because nothing reads the log.
+var errLogBlocked = errors.New("sidecar: log is not read")
+
+// Close writes the buffered lines.
+func (w logWriter) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- w.Writer.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(logCloseTimeout):
+		return errLogBlocked
+	}
 }
 
 // eventLog writes log lines for events, rate limited by kind. It is safe for concurrent use.
