sidecar: replace a lapsed lease at the first failed write

What operators saw: a node whose lease has lapsed, which also removes its entry, is without an entry for two waits instead of one, 0.75 s instead of 0.25 s on average, if a change of its registration is the first call that fails.

Cause: the write failed with a conflict first, because the entry was gone, and the error of the second write, a lapsed lease, was not looked at. The lease was used once more after the next wait.

Fix: the result of the second write is handled like that of the first.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -534,12 +534,7 @@
 	key := registryPrefix + self.Node
 	p.registry.setPublishing(value)
 	revision, err := store.CompareAndSwap(ctx, key, p.revision, value, p.lease)
-	switch {
-	case err == nil:
-		p.written(revision, self)
-	case errors.Is(err, kvstore.ErrLeaseExpired):
-		p.lease = kvstore.NoLease
-	case errors.Is(err, kvstore.ErrConflict):
+	if errors.Is(err, kvstore.ErrConflict) {
 		// The entry was written by an earlier process, or by a write of this process whose response was
 		// lost. This process is now the only writer of the entry.
 		entry, readErr := store.Get(ctx, key)
@@ -548,9 +543,12 @@
 		}
 		p.revision = entry.Revision
 		revision, err = store.CompareAndSwap(ctx, key, p.revision, value, p.lease)
-		if err == nil {
-			p.written(revision, self)
-		}
+	}
+	switch {
+	case err == nil:
+		p.written(revision, self)
+	case errors.Is(err, kvstore.ErrLeaseExpired):
+		p.lease = kvstore.NoLease
 	}
 	return err
 }
--- a/sidecar/registry_test.go
+++ b/sidecar/registry_test.go
@@ -62,3 +62,18 @@
 		t.Fatal("deadlock")
 	}
 }
+
+// Guards against a lapsed lease that is used for another write, and another wait, because the entry was gone too.
+func TestLapsedLeaseIsReplacedAtOnce(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Node = "n0"
+	store := kvstore.NewMemory(time.Now)
+	n := New(settings, Dependencies{Store: store}, zerolog.Nop(), 1)
+	n.registry.publish()
+	p := publisher{registry: n.registry}
+	must.NoError(t, p.step(t.Context()))
+	must.NoError(t, store.RevokeLease(t.Context(), p.lease))
+	n.registry.publish()
+	must.ErrorIs(t, p.step(t.Context()), kvstore.ErrLeaseExpired)
+	must.NoError(t, p.step(t.Context()))
+}
