cowslip-sidecar: a stalled log reader does not keep a stopped process alive

What operators saw: a process whose log reader has stalled is stopped, finishes its stop, and is still killed at the end of its shutdown timeout.

Cause: the exit waited without a bound until the log writer had written its buffered lines.

Evidence: TestStopWithStalledLogReader, with a full pipe as standard output, failed before: main_test.go:120: command still running 6s after SIGTERM

It passes with -race, as do the other stop tests of the command.

--- a/cmd/cowslip-sidecar/main.go
+++ b/cmd/cowslip-sidecar/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
 	"time"
@@ -33,6 +34,9 @@
 	// settingsPollInterval is the time between two checks for changed settings, which may change without a
 	// signal.
 	settingsPollInterval = 2 * time.Second
+	// logFlushTimeout bounds the wait for a log reader that has stalled. It is part of the time that a stop leaves
+	// for the exit of the process.
+	logFlushTimeout = 100 * time.Millisecond
 )
 
 type options struct {
@@ -76,7 +80,7 @@
 	}
 	level, _ := zerolog.ParseLevel(opts.LogLevel) // cannot fail: the parser accepts valid levels only
 	writer := sidecar.NewLogWriter(os.Stdout, func(lines int) { fmt.Fprintf(os.Stderr, "%d log lines dropped\n", lines) })
-	defer writer.Close()
+	defer flushLog(writer)
 	log := zerolog.New(writer).Level(level).With().Timestamp().Str("node", settings.Node).Logger()
 	if err := serve(path, settings, log); err != nil {
 		log.Error().Err(err).Msg("node failed")
@@ -85,6 +89,21 @@
 	return exitOK
 }
 
+// flushLog writes the buffered log lines, or drops them if the log reader has stalled.
+func flushLog(writer io.Closer) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		if err := writer.Close(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	select {
+	case <-flushed:
+	case <-time.After(logFlushTimeout):
+	}
+}
+
 // serve runs the node until SIGTERM or SIGINT. SIGHUP reloads the settings.
 func serve(path string, settings *sidecar.Settings, log zerolog.Logger) error {
 	received := signals.Notify()
--- a/cmd/cowslip-sidecar/main_test.go
+++ b/cmd/cowslip-sidecar/main_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -94,3 +95,28 @@
 	cmd, path, address := newCommand(t)
 	signalstest.StopDuringReload(t, cmd, path, address, shutdownTimeout, false)
 }
+
+// Guards against a log reader that has stalled and keeps a stopped process alive until it is killed.
+func TestStopWithStalledLogReader(t *testing.T) {
+	cmd, _, address := newCommand(t)
+	reader, writer, err := os.Pipe()
+	must.NoError(t, err)
+	defer reader.Close()
+	defer writer.Close()
+	must.NoError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = writer.Write(make([]byte, 1<<20))
+	must.ErrorIs(t, err, os.ErrDeadlineExceeded) // the pipe is full
+	cmd.Stdout = writer
+	must.NoError(t, cmd.Start())
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	signalstest.AwaitListener(t, address)
+	must.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-exited:
+		must.NoError(t, err)
+	case <-time.After(shutdownTimeout):
+		t.Fatalf("command still running %v after SIGTERM", shutdownTimeout)
+	}
+}
--- a/internal/signals/signalstest/reload.go
+++ b/internal/signals/signalstest/reload.go
@@ -30,7 +30,7 @@
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
 	defer func() { _ = cmd.Process.Kill() }()
-	awaitListener(t, address)
+	AwaitListener(t, address)
 
 	// Replace the settings file by a FIFO, so that a reload blocks until it is written to.
 	text, err := os.ReadFile(settings)
@@ -60,7 +60,8 @@
 	}
 }
 
-func awaitListener(t *testing.T, address string) {
+// AwaitListener waits until a command listens on address.
+func AwaitListener(t *testing.T, address string) {
 	t.Helper()
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		connection, err := net.Dial("tcp", address)
