sidecar: end the publication of the entry before its removal

What operators saw: nothing yet; found in a review. If the lease of a node lapsed shortly before the end of its stop, its entry can be written under a new lease while the old one is revoked. Other nodes then keep the departed node as a stopping one until the new lease ends, 9 s or more.

Cause: Stop removed the entry while the task that publishes it was still running.

Fix: Stop ends the tasks first, which all end with their context.

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -128,15 +128,15 @@
 	n.refusingAll.Store(true)
 	// The deadline may already have passed if the process was paused.
 	err := n.closeServers(laterOf(times.deadline, time.Now().Add(n.settings().responseMargin())))
+	n.cancel()
+	n.abortRunning()
+	n.abortLate()
+	n.tasks.Wait() // the task that publishes the entry could write it again while it is removed
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), n.settings().deregisterTimeout())
 	defer cancelDeregister()
 	if err := n.registry.deregister(deregisterCtx); err != nil {
 		n.log.event("registration_failed").Err(err).Msg("registry entry not removed; it expires with its lease")
 	}
-	n.cancel()
-	n.abortRunning()
-	n.abortLate()
-	n.tasks.Wait()
 	n.forwarder.Close()
 	n.upstreams.Close()
 	if count := n.aborted.Load(); count > 0 {
