sidecar: name the rewrite of an entry apart from a restored store

Cause: publisher.restored was the time at which a displaced entry was written again, beside a store that is restored from a backup. The field is renamed; no behavior changes and nothing was measured for it.

--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -500,8 +500,8 @@
 	lease           kvstore.LeaseID
 	renewed         time.Time
 	revision        int64
-	writtenSequence int64 // sequence number of the registration in the store
-	restored        time.Time
+	writtenSequence int64     // sequence number of the registration in the store
+	rewrittenAt     time.Time // last write after another writer had displaced the entry
 }
 
 // step performs the store calls that are due.
@@ -526,8 +526,8 @@
 		p.renewed = now
 	}
 	// Restoring at the pace of renewals keeps two processes with the same name from writing in turns without a pause.
-	if now := clock.Boot(); now.Sub(p.restored) >= leaseRenewInterval && p.registry.takeDisplaced() {
-		p.restored, p.writtenSequence = now, 0
+	if now := clock.Boot(); now.Sub(p.rewrittenAt) >= leaseRenewInterval && p.registry.takeDisplaced() {
+		p.rewrittenAt, p.writtenSequence = now, 0
 	}
 	self := p.registry.registration()
 	if self.Sequence == p.writtenSequence {
