review: case 1, a late heartbeat undoes the departure of a backend

Cause: a node that has just been restarted knows its backend from the health response, without a start time. A departure marks only that entry. A heartbeat that was sent before and arrives later carries a start time, is taken for another instance and replaces the entry.

--- /dev/null
+++ b/review/_standin/backend.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeatInterval = 1500 * time.Millisecond // heartbeatS of the settings
+	heartbeatTimeout  = time.Second             // an acknowledgement that comes later does not count
+	backendSlots      = 115
+	workTime          = 78 * time.Millisecond
+	healthPath        = "/health"
+)
+
+// execution is a request that a backend began to run.
+type execution struct {
+	id, instance, tenant string
+	at                   time.Time
+	finished             bool
+}
+
+// backend is a sound backend of a service.
+type backend struct {
+	rec      *record
+	machine  string
+	zone     string
+	service  string
+	address  string
+	control  string // address for heartbeats
+	instance string
+	born     int64
+
+	server *http.Server
+	client *http.Client
+	cancel context.CancelFunc
+	// beating is closed when the regular heartbeats have ended.
+	beating chan struct{}
+
+	mu       sync.Mutex
+	sequence int64
+	leaving  bool
+	// slow is added to the work of each request.
+	slow       time.Duration
+	executions []execution
+}
+
+func (b *backend) start() error {
+	listener, err := net.Listen("tcp4", b.address)
+	if err != nil {
+		return err
+	}
+	b.born = time.Now().UnixMilli()
+	b.instance = "i-" + strconv.FormatInt(b.born, 36) + "-" + b.machine
+	b.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	b.server = &http.Server{Handler: b}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	b.beating = make(chan struct{})
+	go func() { _ = b.server.Serve(listener) }()
+	go func() {
+		defer close(b.beating)
+		for ctx.Err() == nil {
+			_ = b.send(b.heartbeat()) // without an acknowledgement the next heartbeat follows
+			sleep(ctx, heartbeatInterval)
+		}
+	}()
+	return nil
+}
+
+// stopHeartbeats ends the regular heartbeats after the last one has been acknowledged, and returns the next one.
+func (b *backend) stopHeartbeats() []byte {
+	b.cancel()
+	<-b.beating
+	return b.heartbeat()
+}
+
+// exit ends the backend and its connections.
+func (b *backend) exit() {
+	if b.server == nil {
+		return // it did not start
+	}
+	b.cancel()
+	_ = b.server.Close()
+}
+
+// heartbeat returns the next heartbeat.
+func (b *backend) heartbeat() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	data, err := json.Marshal(map[string]any{
+		"address": b.address, "born": b.born,
+		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": backendSlots},
+		"status": map[string]any{"state": "ready", "sequence": b.sequence, "warmupLeftS": 0},
+	})
+	if err != nil {
+		panic(err) // unreachable: the values can be encoded
+	}
+	return data
+}
+
+// send sends a heartbeat to the node on the same machine. A nil error is an acknowledgement.
+func (b *backend) send(heartbeat []byte) error {
+	return b.call(http.MethodPut, heartbeat)
+}
+
+// leave tells the node that the backend leaves. A nil error is an acknowledgement.
+func (b *backend) leave() error {
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	return b.call(http.MethodDelete, []byte(fmt.Sprintf(`{"born":%d}`, b.born)))
+}
+
+func (b *backend) call(method string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+b.control+"/v1/instances/"+b.instance, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := b.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
+
+func (b *backend) setSlow(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow = d
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Instance-Id", b.instance)
+	b.mu.Lock()
+	leaving, work := b.leaving, workTime+b.slow
+	b.mu.Unlock()
+	if r.URL.Path == healthPath {
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != b.instance {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // an incomplete request does not run
+	}
+	index := b.begin(execution{id: id, instance: b.instance, tenant: r.Header.Get("Tenant-Id"), at: time.Now()})
+	sleep(r.Context(), work)
+	if r.Context().Err() != nil {
+		return // a backend drops a request when its connection closes
+	}
+	b.finish(index)
+	body := []byte("answer to " + id + "\n")
+	w.Header().Set("Response-Signature", fmt.Sprintf("%s.%d.%08x", b.instance, len(body), crc32.ChecksumIEEE(body)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+func (b *backend) begin(e execution) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.executions = append(b.executions, e)
+	return len(b.executions) - 1
+}
+
+func (b *backend) finish(index int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.executions[index].finished = true
+}
+
+// ran returns the requests that the backend has begun to run.
+func (b *backend) ran() []execution {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]execution(nil), b.executions...)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
