review: case 2, an exchange that was held up makes an old configuration fresh

Cause: the receiver of an exchange dates the sender's age of the configuration from the handling of the message, not from its sending. After a partition, a message that was held up confirms a configuration whose key was taken away.

Done: the script review/2/run.sh cuts a zone off for 6 s and takes a key away meanwhile.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -28,7 +28,8 @@
 // cases holds the scripted cases. trouble is false if the disruption is left out. They return the number of
 // violations of the rule.
 var cases = map[string]func(f *fleet, trouble bool) (violations int, err error){
-	"drain": runDrain,
+	"revoke": runRevoke,
+	"drain":  runDrain,
 }
 
 func main() { os.Exit(run()) }
