--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -37,6 +37,9 @@
 	routeHost     = "hulo84.example"
 	// remainingKey is the key that the tenant keeps.
 	remainingKey = "6wsjnbanfqasnmgkcuyj"
+	// hotTenant sends more than its rate, with hotKey.
+	hotTenant = "rada207"
+	hotKey    = "8pjbvk9m68k7b2ex5wa5"
 )
 
 var (
@@ -222,7 +225,10 @@
 		"routes":   []any{route("portfolio-view", "/portfolio/", "idempotent", services[0]), route("deposit-confirm", "/deposit/", "non_idempotent", services[1])},
 		"services": list,
 		"limits":   map[string]any{"maxHeaderBytes": 32768, "maxBodyBytes": 1048576, "headerTimeoutS": 5, "idleTimeoutS": 15},
-		"tenants":  []any{map[string]any{"name": "pulo780", "apiKeys": keys, "ratePerS": 400, "burst": 400}},
+		"tenants": []any{
+			map[string]any{"name": "pulo780", "apiKeys": keys, "ratePerS": 400, "burst": 400},
+			map[string]any{"name": hotTenant, "apiKeys": []string{hotKey}, "ratePerS": quotaRate, "burst": quotaBurst},
+		},
 	}
 }
 
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,6 +29,7 @@
 // violations of the rule.
 var cases = map[string]func(f *fleet, trouble bool) (violations int, err error){
 	"revoke": runRevoke,
+	"quota":  runQuota,
 	"drain":  runDrain,
 }
 
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/kvstore"
@@ -26,6 +27,8 @@
 	server   *http.Server
 	address  string
 	revision int64
+	// skipped is the time that leases have skipped, in nanoseconds.
+	skipped atomic.Int64
 }
 
 type storeItem struct {
@@ -40,12 +43,22 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{memory: kvstore.NewMemory(time.Now), address: listener.Addr().String()}
+	s := &store{address: listener.Addr().String()}
+	s.memory = kvstore.NewMemory(func() time.Time { return time.Now().Add(time.Duration(s.skipped.Load())) })
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
 
+// setDown begins an outage in which all leases run out, or ends it.
+func (s *store) setDown(down bool) {
+	s.memory.SetDown(down)
+	if down {
+		s.skipped.Add(int64(time.Hour))
+		s.memory.Expire()
+	}
+}
+
 func (s *store) close() { _ = s.server.Close() }
 
 // operatorWrite writes the configuration. Its return is the acknowledgement.
