--- a/review/_standin/backend.go
+++ b/review/_standin/backend.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +10,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,9 +52,17 @@
 	mu       sync.Mutex
 	sequence int64
 	leaving  bool
-	// slow is added to the work of each request.
-	slow       time.Duration
+	// early makes the backend answer uploads before it has read them.
+	early      bool
 	executions []execution
+	uploads    []upload
+}
+
+// upload is what a backend got of the body of an upload.
+type upload struct {
+	id, instance string
+	body         []byte
+	err          error // that ended the body, nil if it is complete
 }
 
 func (b *backend) start() error {
@@ -141,17 +152,17 @@
 	return nil
 }
 
-func (b *backend) setSlow(d time.Duration) {
+func (b *backend) setEarly() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slow = d
+	b.early = true
 }
 
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", b.instance)
 	b.mu.Lock()
-	leaving, work := b.leaving, workTime+b.slow
+	leaving := b.leaving
 	b.mu.Unlock()
 	if r.URL.Path == healthPath {
 		if leaving {
@@ -165,21 +176,86 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, uploadPath) {
+		b.serveUpload(w, r, id)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // an incomplete request does not run
 	}
 	index := b.begin(execution{id: id, instance: b.instance, tenant: r.Header.Get("Tenant-Id"), at: time.Now()})
-	sleep(r.Context(), work)
+	sleep(r.Context(), workTime)
 	if r.Context().Err() != nil {
 		return // a backend drops a request when its connection closes
 	}
 	b.finish(index)
-	body := []byte("answer to " + id + "\n")
+	b.answer(w, []byte("answer to "+id+"\n"))
+}
+
+// answer sends a signed answer.
+func (b *backend) answer(w http.ResponseWriter, body []byte) {
 	w.Header().Set("Response-Signature", fmt.Sprintf("%s.%d.%08x", b.instance, len(body), crc32.ChecksumIEEE(body)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
 }
 
+const (
+	// uploadPath is the prefix of the route of uploads.
+	uploadPath = "/sketch/"
+	// earlyBytes is how much of an upload a backend has read when it answers early.
+	earlyBytes = 10 << 10
+	// uploadAnswerBytes is the size of its answer.
+	uploadAnswerBytes = 100 << 10
+)
+
+// serveUpload reads an upload and answers it, early or at its end. In both cases it keeps the connection open until it
+// has read the body or the node has closed the connection.
+func (b *backend) serveUpload(w http.ResponseWriter, r *http.Request, id string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack() // net/http does not read on after an early answer
+	if err != nil {
+		return // the connection is closed
+	}
+	defer conn.Close()
+	var body io.Reader = io.LimitReader(buffered, r.ContentLength)
+	if r.ContentLength < 0 {
+		body = httputil.NewChunkedReader(buffered)
+	}
+	b.mu.Lock()
+	early := b.early
+	b.mu.Unlock()
+	u := upload{id: id, instance: b.instance}
+	if early {
+		first := make([]byte, earlyBytes)
+		if _, err := io.ReadFull(body, first); err != nil {
+			return // an incomplete request does not run
+		}
+		u.body = first
+		b.answerUpload(buffered.Writer, r, id)
+	}
+	rest, err := io.ReadAll(body)
+	u.body, u.err = append(u.body, rest...), err
+	complete := err == nil && (r.ContentLength < 0 || int64(len(u.body)) == r.ContentLength)
+	if err == nil && !complete {
+		u.err = io.ErrUnexpectedEOF
+	}
+	if !early && complete {
+		b.answerUpload(buffered.Writer, r, id)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.uploads = append(b.uploads, u)
+}
+
+// answerUpload records that an upload runs, and answers it.
+func (b *backend) answerUpload(w *bufio.Writer, r *http.Request, id string) {
+	b.begin(execution{id: id, instance: b.instance, tenant: r.Header.Get("Tenant-Id"), at: time.Now(), finished: true})
+	answer := bytes.Repeat([]byte("a"), uploadAnswerBytes)
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nResponse-Signature: %s.%d.%08x\r\nContent-Length: %d\r\n\r\n",
+		b.instance, id, b.instance, len(answer), crc32.ChecksumIEEE(answer), len(answer))
+	_, _ = w.Write(answer)
+	_ = w.Flush() // an error means that the node has closed the connection
+}
+
 func (b *backend) begin(e execution) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -222,7 +222,7 @@
 	}
 	return map[string]any{
 		"version":  fmt.Sprintf("r%d", r),
-		"routes":   []any{route("portfolio-view", "/portfolio/", "idempotent", services[0]), route("deposit-confirm", "/deposit/", "non_idempotent", services[1])},
+		"routes":   []any{route("portfolio-view", "/portfolio/", "idempotent", services[0]), route("deposit-confirm", "/deposit/", "non_idempotent", services[1]), route("sketch-upload", uploadPath, "upload", services[1])},
 		"services": list,
 		"limits":   map[string]any{"maxHeaderBytes": 32768, "maxBodyBytes": 1048576, "headerTimeoutS": 5, "idleTimeoutS": 15},
 		"tenants": []any{
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (violations int, err error){
 	"revoke": runRevoke,
 	"quota":  runQuota,
+	"early":  runEarly,
 	"drain":  runDrain,
 }
 
