review: case 5, overlapping stops break a request off

Cause: a node that stops aborts the calls of other nodes by its own time, also if the node where the request entered was told to stop later. That node then answers 502 before the last sixth of its own grace time.

--- a/review/_standin/backend.go
+++ b/review/_standin/backend.go
@@ -23,6 +23,9 @@
 	backendSlots      = 115
 	workTime          = 78 * time.Millisecond
 	healthPath        = "/health"
+	// longSuffix ends the paths of requests that a backend runs for longWork.
+	longSuffix = "/long"
+	longWork   = 5800 * time.Millisecond
 )
 
 // execution is a request that a backend began to run.
@@ -184,7 +187,11 @@
 		return // an incomplete request does not run
 	}
 	index := b.begin(execution{id: id, instance: b.instance, tenant: r.Header.Get("Tenant-Id"), at: time.Now()})
-	sleep(r.Context(), workTime)
+	work := workTime
+	if strings.HasSuffix(r.URL.Path, longSuffix) {
+		work = longWork
+	}
+	sleep(r.Context(), work)
 	if r.Context().Err() != nil {
 		return // a backend drops a request when its connection closes
 	}
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -23,6 +23,7 @@
 	revokeTime  = 5 * time.Second
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
+	graceTime   = 6 * time.Second
 )
 
 const (
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,6 +31,7 @@
 	"revoke": runRevoke,
 	"quota":  runQuota,
 	"early":  runEarly,
+	"stops":  runStops,
 	"drain":  runDrain,
 }
 
