--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -33,9 +33,7 @@
 	startTimeout = 20 * time.Second
 	// restartDelay is the time after which the platform starts a process that has ended.
 	restartDelay = 300 * time.Millisecond
-	// startDuration is an upper bound of the time that a process takes to start.
-	startDuration = 500 * time.Millisecond
-	routeHost     = "hulo84.example"
+	routeHost    = "hulo84.example"
 	// remainingKey is the key that the tenant keeps.
 	remainingKey = "6wsjnbanfqasnmgkcuyj"
 	// hotTenant sends more than its rate, with hotKey.
@@ -61,6 +59,7 @@
 
 	mu      sync.Mutex
 	process *os.Process
+	started time.Time // of process
 	closed  bool
 	exited  chan struct{} // closed when the last process has exited
 }
@@ -307,7 +306,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.process = cmd.Process
+	m.process, m.started = cmd.Process, time.Now()
 	go func() {
 		_ = cmd.Wait()
 		time.Sleep(restartDelay)
@@ -319,6 +318,13 @@
 	return nil
 }
 
+// inTouchSince returns when the machine is in touch again after the start of its process.
+func (m *machine) inTouchSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.started.Add(contactTime)
+}
+
 // signal sends a signal to the node.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const proxyChunkBytes = 32 << 10
@@ -144,6 +146,10 @@
 	for {
 		count, err := from.Read(buffer)
 		p.network.await(sender, p.machine)
+		if wasReset(from) {
+			reset(to) // what was held is lost
+			return
+		}
 		if count > 0 {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				reset(from)
@@ -161,6 +167,19 @@
 	}
 }
 
+// wasReset reports whether the other side has reset a connection.
+func wasReset(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := 0
+	if err := raw.Control(func(fd uintptr) { state, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) }); err != nil {
+		return true
+	}
+	return state != 0
+}
+
 func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
