ratelimit: sends beyond the first take a token; first requests are not hedged

Cause: nodes grant 1570 of the 1597 requests that a workspace may send in 5 s on the deployment that broke the limit. A hedge, or a retry of a request that may have run, took no token. While no latency was known, a hedge was due after 60 ms for all requests, so the first half second of traffic added dozens of sends to a spent burst. Change: such a send needs a token of this node's share, else the request keeps the outcome it has. Without a known latency the hedge waits for half of the caller's time. Counters for repeats, lent, borrowed and expired tokens and for sends to the upstream by workspace.

--- a/ratelimit/loans.go
+++ b/ratelimit/loans.go
@@ -70,6 +70,7 @@
 	}
 	given = min(wanted, max(1, b.tokens/2))
 	b.tokens -= given
+	b.lent += given
 	b.arrivals += given // the demand of nodes that rely on this one
 	return given, b.tokens
 }
@@ -87,9 +88,8 @@
 	if b == nil || given <= 0 {
 		return
 	}
-	if now.After(b.borrowedUntil) {
-		b.borrowed = 0
-	}
+	b.expireBorrowed(now)
 	b.borrowed += given
+	b.borrowedTotal += given
 	b.borrowedUntil = now.Add(s.config.LoanLifetime)
 }
--- a/ratelimit/loans_test.go
+++ b/ratelimit/loans_test.go
@@ -85,3 +85,20 @@
 	must.Eq(t, 0, given)
 	must.Eq(t, LoanRequest{}, s.PlanLoan("other", 1, now))
 }
+
+// Guards against sends beyond the first of a request that run in addition to the rate and burst.
+func TestRepeatsTakeTokens(t *testing.T) {
+	lender, _, now := loanPair(t, 100)
+	sent := 0
+	for i := range 1000 {
+		admitted, _ := lender.Take("w", now)
+		if admitted {
+			sent++
+		}
+		if i%2 == 0 && lender.TakeRepeat("w", now) {
+			sent++
+		}
+	}
+	must.Eq(t, int(lender.Status(now)["w"].Share*100), sent)
+	must.True(t, lender.TakeRepeat("unlimited", now))
+}
--- a/ratelimit/share_tokens.go
+++ b/ratelimit/share_tokens.go
@@ -28,6 +28,26 @@
 	return s.admit(b, now)
 }
 
+// TakeRepeat reports whether an admitted request may be sent to an upstream once more although an earlier send may have
+// run. It takes a token, because operators count each send that runs against the rate. It takes no borrowed one, as a
+// loan is for requests that have not been sent yet.
+func (s *Shares) TakeRepeat(workspace string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.workspaces[workspace]
+	if b == nil || b.quota.Rate <= 0 {
+		return true
+	}
+	b.refill(s.usableShare(b), now)
+	if b.tokens < 1 {
+		b.repeatsRefused++
+		return false
+	}
+	b.tokens--
+	b.repeats++
+	return true
+}
+
 // admit takes a token for a request that is already counted as refused, and moves it to the admitted count.
 func (s *Shares) admit(b *shareBucket, now time.Time) (bool, time.Duration) {
 	share := s.usableShare(b)
@@ -57,9 +77,7 @@
 
 // spend takes one token, from the borrowed tokens first.
 func (b *shareBucket) spend(now time.Time) bool {
-	if now.After(b.borrowedUntil) {
-		b.borrowed = 0
-	}
+	b.expireBorrowed(now)
 	if b.borrowed+b.tokens < 1 {
 		return false
 	}
@@ -69,6 +87,14 @@
 	return true
 }
 
+// expireBorrowed drops borrowed tokens that were not used in time.
+func (b *shareBucket) expireBorrowed(now time.Time) {
+	if now.After(b.borrowedUntil) {
+		b.expired += b.borrowed
+		b.borrowed = 0
+	}
+}
+
 // refill adds the tokens for the time since the last refill.
 func (b *shareBucket) refill(share float64, now time.Time) {
 	// Callers read the clock before they acquire the lock, so times may be out of order.
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -128,6 +128,10 @@
 	borrowedUntil time.Time
 	// admitted and refused count requests since the process started.
 	admitted, refused int64
+	// repeats counts sends beyond the first of a request that took a token, repeatsRefused those without a token.
+	repeats, repeatsRefused int64
+	// lent, borrowedTotal and expired count tokens given to other nodes, received from them, and not used in time.
+	lent, borrowedTotal, expired float64
 	// arrivals counts requests since the last update of the demand estimate.
 	arrivals float64
 	demand   float64
@@ -251,6 +255,13 @@
 	Tokens   float64 `json:"tokens"`
 	Admitted int64   `json:"admitted"`
 	Refused  int64   `json:"refused"`
+	// Repeats counts sends beyond the first of a request that took a token, RepeatsRefused those that had none left.
+	Repeats        int64 `json:"repeats"`
+	RepeatsRefused int64 `json:"repeats_refused"`
+	// Lent, Borrowed and Expired count tokens given to other nodes, received from them, and not used in time.
+	Lent     float64 `json:"lent"`
+	Borrowed float64 `json:"borrowed"`
+	Expired  float64 `json:"expired"`
 	// Holder means that the node keeps a share without demand. Other nodes may have none and borrow.
 	Holder bool `json:"holder"`
 	// Corrected is the total lost share that this node has restored by adding it to its own.
@@ -264,7 +275,11 @@
 	status := make(map[string]ShareStatus, len(s.workspaces))
 	for name, b := range s.workspaces {
 		b.refill(s.usableShare(b), now)
-		status[name] = ShareStatus{Share: b.share, Demand: b.demand, Tokens: b.tokens, Admitted: b.admitted, Refused: b.refused, Holder: b.holders[s.self.Name], Corrected: b.corrected}
+		status[name] = ShareStatus{
+			Share: b.share, Demand: b.demand, Tokens: b.tokens, Admitted: b.admitted, Refused: b.refused,
+			Repeats: b.repeats, RepeatsRefused: b.repeatsRefused, Lent: b.lent, Borrowed: b.borrowedTotal, Expired: b.expired,
+			Holder: b.holders[s.self.Name], Corrected: b.corrected,
+		}
 	}
 	return status
 }
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -166,6 +166,9 @@
 		end()
 		releaseSlot(result)
 	}
+	if req.Workspace != "" {
+		n.metrics.upstreamSends.Add(req.Workspace, 1)
+	}
 	response, err := n.upstreams.Run(ctx, u.Address, req)
 	n.metrics.upstreamLatency.record(time.Since(start))
 	if err != nil {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -178,9 +178,14 @@
 	return response.Status >= http.StatusInternalServerError
 }
 
-// hedgeDelay returns the time after which a hedged attempt is sent.
+// hedgeDelay returns the time after which a hedged attempt is sent. Where no latency is known yet, as in the first
+// moments of a fleet, every request would look late, so only those are hedged whose callers have half of their time left.
 func (d *dispatcher) hedgeDelay() time.Duration {
-	return max(hedgeFactor*d.node.expectedWork(d.entry), minHedgeDelay)
+	expected := d.node.expectedWork(d.entry)
+	if expected <= 0 {
+		return patience(time.Until(d.entry.req.Deadline), 0)
+	}
+	return max(hedgeFactor*expected, minHedgeDelay)
 }
 
 // choose picks a destination. If none is left, it retries all of them after a short delay until the request is given up.
@@ -288,8 +293,8 @@
 	return true
 }
 
-// repeatAllowed charges one repeated send to the limits of the route and the service and reports whether
-// they allow it. ran means that an earlier send may have run.
+// repeatAllowed charges one repeated send to the limits of the route and the service, and to the rate of the workspace
+// if an earlier send may have run. It reports whether they allow it.
 func (d *dispatcher) repeatAllowed(ran bool) bool {
 	attempts := d.entry.route.MaxAttempts
 	if attempts <= 0 {
@@ -298,6 +303,10 @@
 	if d.repeats+1 >= attempts || !d.node.repeats.AllowRepeat(d.entry.req.Service, ran, time.Now()) {
 		return false
 	}
+	if ran && !d.node.shares.TakeRepeat(d.entry.req.Workspace, time.Now()) {
+		d.node.metrics.repeats.Add("above_rate", 1)
+		return false
+	}
 	d.repeats++
 	return true
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -60,6 +60,8 @@
 	loans *expvar.Map
 	// registrationsRejected counts registrations of other nodes that were not used, by the violated rule.
 	registrationsRejected *expvar.Map
+	// upstreamSends counts requests sent to the upstream of this node, by workspace.
+	upstreamSends *expvar.Map
 	// upstreamCalls counts calls on open routes by whether the running request that made them is known.
 	upstreamCalls *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
@@ -70,7 +72,7 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
-		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), upstreamSends: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
@@ -80,6 +82,7 @@
 	m.vars.Set("quota_loans_total", m.loans)
 	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
+	m.vars.Set("upstream_sends_total", m.upstreamSends)
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
