pipeline: start idempotent pipelined requests before their turn

Cause: net/http handles the requests of a connection one after the other, so eight pipelined requests took eight times as long as one. Change: a connection wrapper looks ahead in the bytes and starts simple idempotent requests early; handlers take the results in order. Bounds for each connection and for all of them.

--- /dev/null
+++ b/internal/pipeline/pipeline_test.go
@@ -0,0 +1,152 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+type noResult struct{}
+
+func (noResult) Discard() {}
+
+// recorder is a server that records which requests were started early and which were handled in turn.
+type recorder struct {
+	address string
+
+	mu      sync.Mutex
+	early   []string
+	handled []string
+	// hold delays handlers until it is closed.
+	hold chan struct{}
+}
+
+func startRecorder(t *testing.T, maxPerConnection int) *recorder {
+	t.Helper()
+	r := &recorder{hold: make(chan struct{})}
+	pipeline := New(Config{MaxPerConnection: maxPerConnection, MaxTotal: 100, Start: func(_ context.Context, request *http.Request) Result {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.early = append(r.early, request.Method+request.RequestURI)
+		return noResult{}
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	r.address = listener.Addr().String()
+	server := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		_, done := Take(request)
+		defer done()
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-r.hold
+		r.mu.Lock()
+		r.handled = append(r.handled, request.Method+request.RequestURI)
+		r.mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	go func() { _ = server.Serve(pipeline.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return r
+}
+
+// exchange sends a stream in pieces and reads all responses.
+func (r *recorder) exchange(t *testing.T, pieces []string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	for _, piece := range pieces {
+		if _, err := io.WriteString(conn, piece); err != nil {
+			break // the server has refused the stream
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_ = conn.(*net.TCPConn).CloseWrite() // fails if the server has refused the stream
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// Guards against starting a request that the client has not sent as one, such as bytes of a body that look like a request.
+func TestOnlyRequestsOfTheStreamAreStarted(t *testing.T) {
+	inner := "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	kinds := []func(i int) string{
+		func(i int) string { return fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i) },
+		func(i int) string {
+			return fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", i, len(inner), inner)
+		},
+		func(i int) string {
+			return fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\ncontent-length: %d\r\n\r\n%s", i, len(inner), inner)
+		},
+		func(i int) string {
+			return fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", i, len(inner), inner)
+		},
+		func(i int) string { return fmt.Sprintf("GET /%d HTTP/1.1\nHost: h\n\n", i) },
+		func(i int) string {
+			return fmt.Sprintf("PUT /%d HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n%s", i, len(inner), inner)
+		},
+		func(i int) string { return fmt.Sprintf("GET /%d HTTP/1.0\r\nHost: h\r\n\r\n", i) },
+		func(i int) string { return fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", i) },
+		func(int) string { return "GET bad\r\n\r\n" },
+	}
+	early := 0
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		r := startRecorder(t, 4)
+		close(r.hold)
+		stream := ""
+		for i := range 6 {
+			kind := 0
+			if random.IntN(3) == 0 {
+				kind = random.IntN(len(kinds))
+			}
+			stream += kinds[kind](i)
+		}
+		var pieces []string
+		for len(stream) > 0 {
+			n := 1 + random.IntN(len(stream))
+			pieces, stream = append(pieces, stream[:n]), stream[n:]
+		}
+		r.exchange(t, pieces)
+		r.mu.Lock()
+		for _, request := range r.early {
+			must.False(t, strings.Contains(request, "smuggled"), must.Sprint(seed, pieces))
+		}
+		early += len(r.early)
+		r.mu.Unlock()
+	}
+	must.Positive(t, early)
+}
+
+// Guards against starting more requests of one connection than the bound, and against reading on beyond it.
+func TestEarlyRequestsAreBounded(t *testing.T) {
+	r := startRecorder(t, 3)
+	conn, err := net.Dial("tcp", r.address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	for i := range 10 {
+		_, err := fmt.Fprintf(conn, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		must.NoError(t, err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	r.mu.Lock()
+	must.Eq(t, []string{"GET/1", "GET/2", "GET/3"}, r.early)
+	r.mu.Unlock()
+	close(r.hold)
+	reader := bufio.NewReader(conn)
+	for range 10 {
+		response, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNoContent, response.StatusCode)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	must.SliceLen(t, 10, r.handled)
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -13,6 +13,7 @@
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/internal/httpresponse"
 	"github.com/cowslipglade/cowslipglade/internal/httpserver"
+	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 	"github.com/cowslipglade/cowslipglade/internal/random"
 	"github.com/cowslipglade/cowslipglade/keys"
 	"github.com/cowslipglade/cowslipglade/quarantine"
@@ -38,6 +39,9 @@
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
+	// early means that the request was started before its turn on a connection with pipelined requests. mustWait means that
+	// it was not run then, as its route is not idempotent.
+	early, mustWait bool
 	// aborted means that the shutdown of this node aborted the request.
 	aborted bool
 }
@@ -46,16 +50,20 @@
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.entryInFlight.Add(1)
 	defer n.entryInFlight.Add(-1)
-	start := time.Now()
-	e := &entryRequest{fields: n.headers.TakeRequest(r.Header), start: start, abort: n.abortContext()}
-	ctx, cancel := withEnd(r.Context(), e.abort)
-	defer cancel()
-	response, refusal := n.serve(ctx, w, r, e)
+	started, answered := takeEarly(r)
+	defer answered()
+	if started == nil {
+		started = n.newEntry(r.Context(), r)
+		started.run(w, r)
+	}
+	defer started.cancel()
+	e, response, refusal := started.entry, started.response, started.refusal
 	e.aborted = n.abortedByStop(r.Context(), e.abort, refusal)
-	elapsed := time.Since(start)
+	elapsed := time.Since(e.start)
 	n.metrics.recordRequest(refusal, elapsed)
 	n.logRequest(r, e, response, refusal, elapsed)
-	if n.stopping.Load() {
+	// Requests that were started early would be lost with the connection.
+	if n.stopping.Load() && !pipeline.Waiting(r) {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal != nil {
@@ -105,6 +113,10 @@
 	if refusal := n.admit(r, e); refusal != nil {
 		return nil, refusal
 	}
+	if e.early && !e.req.Idempotent {
+		e.mustWait = true
+		return nil, call.NewRefusal(call.CodeBadRequest, call.NotRun, "request must wait for its turn")
+	}
 	if refusal := n.refuseLate(e); refusal != nil {
 		return nil, refusal
 	}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -83,6 +83,7 @@
 	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
 	m.vars.Set("upstream_sends_total", m.upstreamSends)
+	m.vars.Set("pipelined_requests", expvar.Func(func() any { return n.pipeline.Stats() }))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -31,6 +31,7 @@
 	"github.com/cowslipglade/cowslipglade/balance"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/httpserver"
+	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 	"github.com/cowslipglade/cowslipglade/lineage"
 	"github.com/cowslipglade/cowslipglade/peer"
@@ -108,6 +109,7 @@
 	quarantine        *quarantine.List
 	upstreams         *upstream.DirectClient
 	forwarder         *peer.Forwarder
+	pipeline          *pipeline.Pipeline
 	metrics           *metrics
 	callSequence      atomic.Uint64
 	entryInFlight     atomic.Int64 // requests in progress that entered at this node
@@ -150,6 +152,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.runCtx, n.abortRunning = context.WithCancel(context.Background())
 	n.lateCtx, n.abortLate = context.WithCancel(context.Background())
+	n.pipeline = newPipeline(n)
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
 	n.registry = newRegistry(n)
@@ -193,7 +196,7 @@
 func (n *Node) Start() error {
 	s := n.settings()
 	n.servers = []*server{
-		newServer("requests", s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout}),
+		newServer("requests", s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, ConnContext: pipeline.ConnContext}),
 		newServer("peers", s.PeerAddress, &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}),
 		newServer("control", s.ControlAddress, &http.Server{Handler: n.controlHandler()}),
 		newServer("heartbeats", s.HeartbeatAddress, &http.Server{Handler: n.heartbeatHandler()}),
@@ -213,6 +216,7 @@
 		}
 		server.listener = listener
 	}
+	n.servers[0].listener = n.pipeline.Listener(n.servers[0].listener)
 	n.registry.publish()
 	for _, task := range []func(context.Context){
 		n.configuration.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration,
