cowslipctl: check a configuration of the sidecar before it is sent

Cause: a configuration with a hidden route, a contradictory limit or a key of two workspaces is accepted and shows only in traffic.

--- a/cmd/cowslipctl/commands.go
+++ b/cmd/cowslipctl/commands.go
@@ -26,6 +26,7 @@
 		{"route-delete", "Delete a route", &routeDelete{}},
 		{"rules-put", "Set the rules for retries, quarantine and old configurations", &rulesPut{}},
 		{"config", "Show the configuration in force on a node", &configShow{}},
+		{"config-check", "Check a configuration file of the sidecar before it is sent", &configCheck{}},
 		{"audit", "Show the audit trail of changes", &audit{}},
 		{"shard-release", "Free the quota shards of a node whose VM is certainly dead", &shardRelease{}},
 		{"status", "Show a node and its peers", &status{}},
