ratelimit: hold admissions of all nodes within rate and burst

Cause: lent tokens stayed usable for a second, extended by each further loan, while the bucket of the lender refilled. A restarted node got half of its burst and the share that the first contact reported, and before that half of an even share. A node divided the rates alone after 0.7 s without contact, also among other members than an unreachable node had.

Change: loans expire one by one from when they were asked for, and the lender keeps room for them. A restarted node takes the newest report of its share, by the number of the message that told it, and tokens for the time since its start. Rates are divided over a roster, by the smallest one. Parts of tokens are lent, and nodes that did not respond are not asked for loans before the next contact.

--- a/ratelimit/epoch.go
+++ b/ratelimit/epoch.go
@@ -10,13 +10,17 @@
 //
 // The node with the lowest name is the coordinator and starts epochs. When all others have reported their
 // snapshots, it adds missing share to its own, or starts the next epoch with a factor that all nodes apply.
+//
+// The snapshot of a node that has joined during the epoch is partial: its earlier process may have transferred share
+// after the epoch had begun, which others hold and the snapshot lacks. The same holds for the fleet when a node has
+// departed. Nothing is corrected at the end of such an epoch.
 
 // shareTolerance is the deviation of the sum of shares from one that is not corrected.
 const shareTolerance = 0.005
 
 // beginEpoch applies the scale factors of the new epoch, then records the shares in its snapshot.
 func (s *Shares) beginEpoch(epoch uint64, entries []ShareEntry, now time.Time) {
-	s.epoch, s.epochStart = epoch, now
+	s.epoch, s.epochStart, s.snapshotPartial = epoch, now, false
 	for _, b := range s.workspaces {
 		b.scale = 0
 	}
@@ -44,18 +48,20 @@
 	if s.coordinator != s.self.Name || !s.snapshotFinal(now) {
 		return
 	}
+	partial := s.snapshotPartial
 	for _, m := range s.members {
 		if !m.joined || !m.snapshotFinal || m.epoch != s.epoch {
 			return
 		}
+		partial = partial || m.snapshotPartial
 	}
 	var scales []ShareEntry
 	for name, b := range s.workspaces {
 		sum, known := s.snapshotSum(name, b)
 		switch {
-		case s.epoch == 0 || !known:
+		case s.epoch == 0 || partial || !known:
 		case sum < 1-shareTolerance:
-			b.refill(b.share, now)
+			b.refill(now)
 			b.share += 1 - sum
 			b.corrected += 1 - sum
 		case sum > 1+shareTolerance:
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -21,18 +21,26 @@
 
 // holders returns the names of a workspace's holders, which keep a share without demand.
 func (s *Shares) holders(workspace string, burst float64) map[string]bool {
+	nodes := make([]Member, 0, len(s.members)+1)
+	nodes = append(nodes, s.self)
+	for _, m := range s.members {
+		nodes = append(nodes, m.Member)
+	}
+	return s.holdersAmong(nodes, workspace, burst)
+}
+
+func (s *Shares) holdersAmong(nodes []Member, workspace string, burst float64) map[string]bool {
 	wanted := max(1, int(burst/s.config.MinHolderTokens))
 	holders := map[string]bool{}
-	if wanted > len(s.members) {
-		holders[s.self.Name] = true
-		for name := range s.members {
-			holders[name] = true
+	if wanted >= len(nodes) {
+		for _, m := range nodes {
+			holders[m.Name] = true
 		}
 		return holders
 	}
-	domains := map[string][]Member{s.self.FailureDomain: {s.self}}
-	for _, m := range s.members {
-		domains[m.FailureDomain] = append(domains[m.FailureDomain], m.Member)
+	domains := map[string][]Member{}
+	for _, m := range nodes {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], m)
 	}
 	perDomain := max(1, wanted/len(domains))
 	for _, members := range domains {
@@ -85,8 +93,12 @@
 	return demand
 }
 
-// estimateTokens estimates the tokens of another node from its last report and its share.
+// estimateTokens estimates the tokens of another node from its last report or loan and its share.
 func (s *Shares) estimateTokens(b *shareBucket, m *memberState, entry *ShareEntry, now time.Time) float64 {
 	gain := (b.quota.Rate*entry.Share - entry.Demand) * now.Sub(m.lastContact).Seconds()
+	if at, ok := m.loanedAt[entry.Workspace]; ok {
+		// The reported demand includes what the node has lent before.
+		gain = b.quota.Rate * entry.Share * now.Sub(at).Seconds()
+	}
 	return min(max(entry.Tokens, float64(b.quota.Burst)*entry.Share), entry.Tokens+max(0, gain))
 }
--- /dev/null
+++ b/ratelimit/join.go
@@ -0,0 +1,217 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A process that has just started holds no share and has no tokens: those of the previous process of its node may be spent,
+// and its share transferred. It joins in one of two ways.
+//
+// It inherits the share of the previous process. Each message names its process and sequence, and other nodes report the
+// share with the name of the message that told it to them. The newest of these is the share that the previous process had
+// when it ended, or had before transfers that were lost. So the process joins once it has had a contact with each other
+// node, or after a time-out.
+//
+// If no node holds share, as after a start of the entire fleet, the nodes divide it. Nodes that start at the same time do not
+// know the same others, and some may be partitioned. Each keeps the members that it knew when it first knew all that may
+// not know it (see SetMembers), its roster. As each node writes its registration before it reads those of the others, of
+// two different rosters the smaller one is part of the larger one. A node divides the rates evenly over its roster, and
+// only after a contact with each node of it, none of which has a smaller roster or holds share: of nodes with different
+// rosters only those with the smallest may divide, and those with the same roster take the same parts.
+//
+// Nodes of the roster may be dead. After a time-out, it is enough to have had a contact with more than half of the roster
+// if all of these have the same one. Then the nodes that are missing have their even parts, unless one of them has a
+// smaller roster or is an earlier process that has got more. A minority divides nothing before a missing node is back or
+// its registration has lapsed.
+
+// Roster identifies a set of nodes.
+type Roster struct {
+	Size   uint32
+	Digest uint64
+}
+
+func (r Roster) known() bool { return r.Size > 0 }
+
+func (r Roster) before(other Roster) bool {
+	return r.Size < other.Size || r.Size == other.Size && r.Digest < other.Digest
+}
+
+// joining is the state of a node that does not hold shares yet.
+type joining struct {
+	// startedAt is the first time that this process has seen, and completeAt the first one with all members known.
+	startedAt, completeAt time.Time
+	// membersKnown means that all nodes that may join by themselves are known, or know this one.
+	membersKnown bool
+	roster       Roster
+	rosterNodes  []Member
+	// workspacesKnown means that workspaces have been set. A node that joined before would take an even share of them.
+	workspacesKnown bool
+	// reported is the share of the previous process by workspace; nil before a node has told it. by is the message that
+	// told that node.
+	reported map[string]float64
+	by       messageID
+	// assigned means that another node has divided the rates.
+	assigned bool
+	epoch    uint64
+}
+
+// complete keeps the roster.
+func (j *joining) complete(self Member, others []Member) {
+	j.membersKnown = true
+	j.rosterNodes = append([]Member{self}, others...)
+	for _, member := range j.rosterNodes {
+		j.roster.Size++
+		j.roster.Digest ^= xxhash.Sum64String(member.Name)
+	}
+}
+
+func (j *joining) begin(now time.Time) {
+	if j.startedAt.IsZero() {
+		j.startedAt = now
+	}
+}
+
+// provisionalFraction is the fraction of the share reported to a new process that it uses while a newer report is possible.
+// The previous process has kept as much for longer than it takes to report to all nodes.
+const provisionalFraction = 0.25
+
+// recordReported keeps the receiver's shares of a message if they are newer than those of earlier messages.
+func (s *Shares) recordReported(message *ShareMessage, now time.Time) {
+	j := &s.joining
+	by := messageID{message.ReportedProcess, message.ReportedSequence}
+	shares := make(map[string]float64, len(message.Entries))
+	assigned := false
+	for _, entry := range message.Entries {
+		shares[entry.Workspace] = entry.ReceiverShare
+		assigned = assigned || message.Assigned && entry.ReceiverShare > 0
+	}
+	if j.reported == nil || j.by.before(by) || assigned && by == j.by {
+		j.reported, j.by, j.assigned = shares, by, assigned
+		for workspace, b := range s.workspaces {
+			b.refill(now)
+			if b.share == 0 {
+				b.refilledAt = j.startedAt.Add(s.config.LoanLifetime)
+			}
+			b.share = provisionalFraction * shares[workspace]
+			if message.Assigned {
+				b.share = 0
+			}
+		}
+	}
+}
+
+// contactTimeout is the time in which a new node should exchange messages with every other node.
+func (s *Shares) contactTimeout() time.Duration {
+	return s.config.JoinTimeout + time.Duration(s.cycleRounds-1)*s.config.RoundInterval
+}
+
+// unreportedCycles is the number of contact timeouts after which a node joins without share if others hold shares and none
+// reports that of this node, as when all that know it are unreachable.
+const unreportedCycles = 3
+
+func (s *Shares) knowsJoined() bool {
+	for _, m := range s.members {
+		if m.joined {
+			return true
+		}
+	}
+	return false
+}
+
+// inherit takes the reported share of the previous process if no newer report is expected.
+func (s *Shares) inherit(now time.Time) {
+	j := &s.joining
+	if s.joined || !j.workspacesKnown {
+		return
+	}
+	if j.reported == nil {
+		if !s.knowsJoined() || now.Sub(j.startedAt) < unreportedCycles*s.contactTimeout() {
+			return
+		}
+		j.reported = map[string]float64{} // others hold the share, or restore it
+	}
+	if !j.assigned && now.Sub(j.startedAt) < s.contactTimeout() {
+		for _, m := range s.members {
+			if m.lastContact.IsZero() {
+				return
+			}
+		}
+	}
+	s.joined, s.inheritedAt, s.epoch, s.epochStart, s.snapshotPartial = true, now, j.epoch, now, true
+	// The loans of the previous process have expired LoanLifetime after the start. The tokens since then are unspent, but
+	// for those of the provisional share.
+	unspentSince := j.startedAt.Add(s.config.LoanLifetime)
+	for workspace, b := range s.workspaces {
+		b.refill(now)
+		added := j.reported[workspace] - b.share
+		b.share += added
+		b.snapshotShare = b.share
+		if j.assigned {
+			b.tokens, b.refilledAt = 0, now // assigned at an unknown time
+			continue
+		}
+		b.tokens += max(0, b.quota.Rate*added*now.Sub(unspentSince).Seconds())
+		b.refill(now)
+	}
+}
+
+// mayDivide reports whether this node divides the rates because no node holds any share.
+func (s *Shares) mayDivide(now time.Time) bool {
+	j := &s.joining
+	if !j.membersKnown || len(s.members) > 0 && !j.workspacesKnown {
+		return false
+	}
+	if j.completeAt.IsZero() {
+		j.completeAt = now
+	}
+	contacted, missing, same, lowest := 1, 0, true, true
+	for _, m := range s.members {
+		if m.joined {
+			return false // reports the share of this node
+		}
+		if m.roster.known() && !m.lastContact.IsZero() && m.roster != j.roster {
+			if m.roster.before(j.roster) {
+				return false
+			}
+			same = false
+		} else if m.complete && m.Name < s.self.Name {
+			lowest = false
+		}
+	}
+	for _, member := range j.rosterNodes[1:] {
+		switch m := s.members[member.Name]; {
+		case m == nil: // its registration has lapsed
+		case m.lastContact.IsZero():
+			missing++
+		default:
+			contacted++
+		}
+	}
+	if now.Sub(j.completeAt) >= s.config.JoinTimeout {
+		return missing == 0 || same && contacted > missing
+	}
+	return missing == 0 && lowest // assigns their parts to the others
+}
+
+// divide assigns an even share to each holder of the roster, and takes that of this node. The others get theirs in
+// exchanges.
+func (s *Shares) divide(now time.Time) {
+	s.joined, s.snapshotPartial = true, true
+	s.updateHolders()
+	for workspace, b := range s.workspaces {
+		holders := s.holdersAmong(s.joining.rosterNodes, workspace, float64(b.quota.Burst))
+		even := 1 / float64(len(holders))
+		b.share, b.tokens, b.refilledAt = 0, 0, now // the previous processes of all nodes may have used the burst just before
+		if holders[s.self.Name] {
+			b.share = even
+		}
+		b.snapshotShare = b.share
+		for name, m := range s.members {
+			if holders[name] {
+				m.entries[workspace] = ShareEntry{Workspace: workspace, Share: even}
+			}
+		}
+	}
+}
--- a/ratelimit/loans_test.go
+++ b/ratelimit/loans_test.go
@@ -68,6 +68,28 @@
 	must.False(t, ok)
 }
 
+// Guards against tokens that are usable twice: the lender refilled its bucket while the borrower could still use them.
+func TestLenderKeepsRoomForLentTokens(t *testing.T) {
+	_, lender, now := loanPair(t, 20)
+	lender.SetWorkspaces(map[string]Quota{"w": {Rate: 1000, Burst: 20}}, now)
+	given, _ := lender.Lend("w", 4, now)
+	must.Eq(t, 4, given)
+	must.Eq(t, 6, lender.Status(now.Add(DefaultSharesConfig().LoanLifetime))["w"].Tokens)
+	now = now.Add(DefaultSharesConfig().LoanLifetime + loanGranularity)
+	must.Eq(t, 6, lender.Status(now)["w"].Tokens)
+	must.InDelta(t, 7, lender.Status(now.Add(2 * time.Millisecond))["w"].Tokens, 1e-6)
+}
+
+// Guards against loans that are asked of unreachable nodes again and again, while others have tokens.
+func TestFailedLenderIsNotAskedBeforeContact(t *testing.T) {
+	borrower, lender, now := loanPair(t, 20)
+	must.Eq(t, []string{"b"}, borrower.PlanLoan("w", 1, now).Lenders)
+	borrower.LoanFailed("b")
+	must.SliceEmpty(t, borrower.PlanLoan("w", 1, now).Lenders)
+	borrower.Receive("b", lender.PrepareMessage("a", now), now)
+	must.Eq(t, []string{"b"}, borrower.PlanLoan("w", 1, now).Lenders)
+}
+
 // Checks that a node lends nothing before it holds shares, for an unknown workspace, or for an invalid amount.
 func TestLendWithoutShares(t *testing.T) {
 	now := time.Unix(1, 0)
--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -40,6 +40,22 @@
 	// which the sender has neither share nor demand, which in a large fleet are most of them.
 	Workspaces uint64
 	Entries    []ShareEntry
+	// Process and Sequence identify the message among those of its sender. A sequence of 0 means that they are unknown.
+	Process, Sequence uint64
+	// Roster is set while the sender has not joined and is complete.
+	Roster Roster
+	// ReportedProcess and ReportedSequence identify the message of the receiver that has told the sender what
+	// ReceiverShare is.
+	ReportedProcess, ReportedSequence uint64
+	// SnapshotPartial means that the snapshot does not tell all share that the sender held when the epoch began.
+	SnapshotPartial bool
+}
+
+// messageID identifies a message among those of its sender.
+type messageID struct{ process, sequence uint64 }
+
+func (id messageID) before(other messageID) bool {
+	return id.process < other.process || id.process == other.process && id.sequence < other.sequence
 }
 
 // minReportedDemand is the demand in requests per second below which a node reports none. It is what remains of
@@ -58,14 +74,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateHolders()
+	s.sequence++
 	m := s.members[to]
 	message := ShareMessage{
-		Joined: s.joined, HasReceiverShares: s.knowsShareOf(m, now), Complete: s.membersKnown, Assigned: m == nil || !m.hasReported,
-		Epoch: s.epoch, SnapshotFinal: to == s.coordinator && s.snapshotFinal(now), Workspaces: s.workspacesDigest,
+		Joined: s.joined, HasReceiverShares: s.knowsShareOf(m, now), Complete: s.joining.membersKnown, Assigned: m == nil || !m.hasReported,
+		Epoch: s.epoch, SnapshotFinal: to == s.coordinator && s.snapshotFinal(now), SnapshotPartial: s.snapshotPartial,
+		Workspaces: s.workspacesDigest, Process: s.config.Process, Sequence: s.sequence,
+	}
+	if m != nil {
+		message.ReportedProcess, message.ReportedSequence = m.reported.process, m.reported.sequence
+	}
+	if !s.joined {
+		message.Roster = s.joining.roster
 	}
+	transferred := false
 	for name, b := range s.workspaces {
 		b.updateDemand(&s.config, now)
-		b.refill(s.usableShare(b), now)
+		b.refill(now)
 		entry := ShareEntry{Workspace: name, Demand: b.demand, Tokens: b.tokens, Scale: b.scale}
 		if to == s.coordinator {
 			entry.SnapshotShare = b.snapshotShare
@@ -75,20 +100,29 @@
 			if message.HasReceiverShares {
 				entry.ReceiverShare = known.Share
 			}
-			if isKnown && s.joined && m.joined && now.Sub(m.lastContact) < s.reportLifetime() {
-				entry.Transfer = s.transferAmount(b, to, known)
+			if isKnown && s.joined && m.joined && !m.unanswered && now.Sub(m.lastContact) < s.reportLifetime() {
+				entry.Transfer = min(s.transferAmount(b, to, known), s.transferable(b, now))
 				b.share -= entry.Transfer
 				if entry.Transfer != 0 {
+					transferred = true
 					known.Share += entry.Transfer // so that the next message does not transfer it again
 					m.entries[name] = known
 				}
 			}
 		}
-		entry.Share = b.share
+		if s.joined {
+			entry.Share = b.share
+			b.recordReport(now, s.contactTimeout())
+		} else {
+			entry.Tokens = 0 // it lends none
+		}
 		if !entry.empty() {
 			message.Entries = append(message.Entries, entry)
 		}
 	}
+	if transferred {
+		m.unanswered = true // an unreachable node loses share once
+	}
 	return message
 }
 
@@ -105,8 +139,7 @@
 	if !s.joined || m != nil && m.joined {
 		return false
 	}
-	allContacted := s.config.JoinTimeout + time.Duration(s.cycleRounds-1)*s.config.RoundInterval
-	return m != nil && m.hasReported || now.Sub(s.inheritedAt) >= allContacted
+	return m != nil && m.hasReported || now.Sub(s.inheritedAt) >= s.contactTimeout()
 }
 
 // transferAmount returns the share to move to another node so that both hold share in proportion to their
@@ -132,12 +165,48 @@
 // minTransfer is the smallest transfer, as a fraction of a holder's even share.
 const minTransfer = 0.005
 
+// transferable returns the share that may be transferred. The rest covers the lent tokens that have not expired, and is what
+// a process that follows this one may use at once (see join.go).
+func (s *Shares) transferable(b *shareBucket, now time.Time) float64 {
+	kept := max(b.lent.total(now)/float64(max(1, b.quota.Burst)), provisionalFraction*b.highestReport(now, s.contactTimeout()))
+	if kept <= 0 {
+		return b.share
+	}
+	return float64(float32(max(0, b.share-kept)))
+}
+
+// recordReport records that another node learns the share.
+func (b *shareBucket) recordReport(now time.Time, window time.Duration) {
+	if now.Sub(b.reportedSince) >= window {
+		b.earlierReport, b.highestReported, b.reportedSince = b.highestReport(now, window), 0, now
+	}
+	b.highestReported = max(b.highestReported, b.share)
+}
+
+// highestReport returns the highest share reported within the window, or up to twice as long ago.
+func (b *shareBucket) highestReport(now time.Time, window time.Duration) float64 {
+	switch age := now.Sub(b.reportedSince); {
+	case age < window:
+		return max(b.earlierReport, b.highestReported)
+	case age < 2*window:
+		return b.highestReported
+	}
+	return 0
+}
+
 // Receive applies a message from another node. Of a message from a node that is not a member, only the epoch and
-// the shares that it carries are applied.
+// the shares that it carries are applied. A message that an earlier process of the node has sent is ignored: its later
+// process may have recovered the share that it transfers.
 func (s *Shares) Receive(from string, message ShareMessage, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	inherits := !s.joined && message.Joined && message.HasReceiverShares
+	s.joining.begin(now)
+	m := s.members[from]
+	id := messageID{message.Process, message.Sequence}
+	known := message.Sequence > 0
+	if m != nil && known && id.process < m.newest.process {
+		return
+	}
 	if s.joined && message.Epoch > s.epoch {
 		s.beginEpoch(message.Epoch, message.Entries, now)
 	}
@@ -146,38 +215,46 @@
 		if b == nil {
 			continue
 		}
-		b.refill(s.usableShare(b), now) // before the share changes: others have had the tokens until now
-		if inherits {
-			b.share = entry.ReceiverShare
-			b.snapshotShare = b.share
-			b.tokens = 0
-			if !message.Assigned {
-				b.tokens = float64(b.quota.Burst) * b.share * inheritedBurstFraction
-			}
+		b.refill(now) // before the share changes: others have had the tokens until now
+		if !s.joined {
+			continue // what others report of this node includes the transfer
 		}
 		b.share += entry.Transfer
 		if message.Epoch < s.epoch {
 			b.snapshotShare += entry.Transfer
 		}
 	}
-	if inherits {
-		s.joined, s.inheritedAt, s.epoch, s.epochStart = true, now, message.Epoch, now
+	if !s.joined && message.Joined {
+		s.joining.epoch = max(s.joining.epoch, message.Epoch)
+		if message.HasReceiverShares {
+			s.recordReported(&message, now)
+		}
 	}
-	m := s.members[from]
 	if m == nil {
+		s.inherit(now)
 		return
 	}
-	m.lastContact, m.joined, m.complete, m.epoch, m.snapshotFinal = now, message.Joined, message.Complete, message.Epoch, message.SnapshotFinal
+	m.lastContact, m.unanswered, m.loanFailed = now, false, false
+	if known && id.before(m.newest) {
+		return // overtaken by a newer one
+	}
+	if known {
+		m.newest = id
+	}
+	m.roster = message.Roster
+	m.joined, m.complete, m.epoch, m.snapshotFinal, m.snapshotPartial = message.Joined, message.Complete, message.Epoch, message.SnapshotFinal, message.SnapshotPartial
 	m.workspaces = message.Workspaces
 	if message.Joined {
-		m.hasReported = true
+		m.hasReported, m.reported = true, id
 		clear(m.entries) // drops workspaces that the node does not know (any more)
+		clear(m.loanedAt)
 	}
 	for _, entry := range message.Entries {
 		if m.entries[entry.Workspace].Share == 0 {
 			m.entries[entry.Workspace] = entry
 		}
 	}
+	s.inherit(now)
 }
 
 // Reconcile joins a new fleet and corrects shares that do not add up to one. It must be called after each round
@@ -186,6 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.joined {
+		s.inherit(now)
 		if s.mayDivide(now) {
 			s.divide(now)
 		}
@@ -208,44 +286,3 @@
 	defer s.mu.Unlock()
 	return s.joined
 }
-
-// mayDivide reports whether this node is the one that divides the rates because no node holds any share, as after a start
-// of the entire fleet. Of the nodes that are complete and reach each other it is the one with the lowest name. Each waits
-// for a contact with all others after it has become complete: in that exchange one of the two learns that the other is
-// complete, or has divided the rates before.
-func (s *Shares) mayDivide(now time.Time) bool {
-	if !s.membersKnown {
-		return false
-	}
-	if s.completeAt.IsZero() {
-		s.completeAt = now
-	}
-	timedOut := now.Sub(s.completeAt) >= s.config.JoinTimeout
-	for _, m := range s.members {
-		contacted := !m.lastContact.Before(s.completeAt) && now.Sub(m.lastContact) < s.reportLifetime()
-		switch {
-		case contacted && (m.joined || m.complete && m.Name < s.self.Name):
-			return false // reports the share of this node
-		case !contacted && !timedOut:
-			return false
-		}
-	}
-	return true
-}
-
-// divide assigns an even share to each holder, and takes that of this node. The others get theirs in exchanges.
-func (s *Shares) divide(now time.Time) {
-	s.joined = true
-	s.updateHolders()
-	for workspace, b := range s.workspaces {
-		b.refill(s.usableShare(b), now)
-		b.share = s.evenShare(b, s.self.Name)
-		b.snapshotShare = b.share
-		b.tokens = 0 // the previous processes of all nodes may have used the burst just before
-		for name, m := range s.members {
-			if !m.joined {
-				m.entries[workspace] = ShareEntry{Workspace: workspace, Share: s.evenShare(b, name)}
-			}
-		}
-	}
-}
--- a/ratelimit/share_tokens.go
+++ b/ratelimit/share_tokens.go
@@ -38,7 +38,7 @@
 	if b == nil || b.quota.Rate <= 0 {
 		return true
 	}
-	b.refill(s.usableShare(b), now)
+	b.refill(now)
 	if b.tokens < 1 {
 		b.repeatsRefused++
 		return false
@@ -50,66 +50,47 @@
 
 // admit takes a token for a request that is already counted as refused, and moves it to the admitted count.
 func (s *Shares) admit(b *shareBucket, now time.Time) (bool, time.Duration) {
-	share := s.usableShare(b)
-	b.refill(share, now)
+	b.refill(now)
 	if b.quota.Rate <= 0 || b.spend(now) {
 		b.admitted++
 		b.refused--
 		return true, 0
 	}
-	rate := b.quota.Rate * share
+	rate := b.quota.Rate * b.share
 	if rate <= 0 {
 		return false, time.Second
 	}
 	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
 }
 
-// usableShare returns the share that this node may currently use.
-func (s *Shares) usableShare(b *shareBucket) float64 {
-	switch {
-	case s.joined:
-		return b.share
-	case !s.membersKnown:
-		return 0
-	}
-	return s.evenShare(b, s.self.Name) * unjoinedFraction
-}
-
 // spend takes one token, from the borrowed tokens first.
 func (b *shareBucket) spend(now time.Time) bool {
 	b.expireBorrowed(now)
-	if b.borrowed+b.tokens < 1 {
+	borrowed := b.borrowed.total(now)
+	if borrowed+b.tokens < 1 {
 		return false
 	}
-	ownTokens := max(0, 1-b.borrowed)
-	b.borrowed = max(0, b.borrowed-1)
-	b.tokens -= ownTokens
+	b.borrowed.spend(min(1, borrowed), now)
+	b.tokens -= max(0, 1-borrowed)
 	return true
 }
 
 // expireBorrowed drops borrowed tokens that were not used in time.
-func (b *shareBucket) expireBorrowed(now time.Time) {
-	if now.After(b.borrowedUntil) {
-		b.expired += b.borrowed
-		b.borrowed = 0
-	}
-}
+func (b *shareBucket) expireBorrowed(now time.Time) { b.expired += b.borrowed.expire(now) }
 
-// refill adds the tokens for the time since the last refill.
-func (b *shareBucket) refill(share float64, now time.Time) {
+// refill adds the tokens for the time since the last refill. The capacity is the share of the burst less the lent tokens
+// that have not expired.
+func (b *shareBucket) refill(now time.Time) {
 	// Callers read the clock before they acquire the lock, so times may be out of order.
-	elapsed := max(0, now.Sub(b.refilledAt))
-	b.refilledAt = b.refilledAt.Add(elapsed)
-	b.tokens = min(float64(b.quota.Burst)*share, b.tokens+b.quota.Rate*share*elapsed.Seconds())
+	for b.refilledAt.Before(now) {
+		until := b.lent.nextExpiry(b.refilledAt, now)
+		capacity := max(0, float64(b.quota.Burst)*b.share-b.lent.total(b.refilledAt))
+		b.tokens = min(capacity, b.tokens+b.quota.Rate*b.share*until.Sub(b.refilledAt).Seconds())
+		b.refilledAt = until
+	}
+	b.tokens = max(0, min(b.tokens, float64(b.quota.Burst)*b.share-b.lent.total(b.refilledAt)))
 }
 
-// inheritedBurstFraction is the fraction of its burst that a restarted node starts with. The previous process
-// may have used all of it just before.
-const inheritedBurstFraction = 0.5
-
-// unjoinedFraction is the fraction of an even share that a holder may use before it knows its share.
-const unjoinedFraction = 0.5
-
 // updateDemand updates the demand estimate from the arrivals since the last update.
 func (b *shareBucket) updateDemand(config *SharesConfig, now time.Time) {
 	elapsed := now.Sub(b.demandAt).Seconds()
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -32,15 +32,20 @@
 	BaselineDemand float64
 	// MaxLenders limits the number of nodes that are asked for one loan.
 	MaxLenders int
-	// LoanLifetime is how long borrowed tokens remain usable. It limits the number outstanding at any time.
+	// LoanLifetime is how long borrowed tokens remain usable, from when they were asked for. It limits the number
+	// outstanding at any time.
 	LoanLifetime time.Duration
 	// LoanLookahead is the period whose expected demand a loan covers in addition to the waiting requests.
 	LoanLookahead time.Duration
 	// Damping is the fraction of an imbalance that one round of exchanges corrects. Nodes act on information
 	// that is one round old, so a value of 1 would overshoot.
 	Damping float64
-	// JoinTimeout is how long a new node that knows all others waits for a contact with each of them.
+	// JoinTimeout is how long a new node waits for a contact with each of the others before it divides the rates without
+	// the missing ones. Before it takes the newest reported share, it waits for the further rounds of a cycle too.
 	JoinTimeout time.Duration
+	// Process identifies the process in messages and is higher than that of every earlier process of the node. If it
+	// is 0, NewShares sets it to the time in nanoseconds.
+	Process uint64
 }
 
 // DefaultSharesConfig returns the configuration used by cowslip-sidecar.
@@ -54,8 +59,8 @@
 		SnapshotSettleTime:   800 * time.Millisecond, // twice the timeout of an exchange
 		MinHolderTokens:      4,                      // half can be lent; arrivals are random
 		BaselineDemand:       0.05,                   // this part of the rate can be spared, and can be borrowed
-		MaxLenders:           5,                      // a domain's three holders may have lent all since their reports
-		LoanLifetime:         time.Second,            // two rounds, within which share follows demand
+		MaxLenders:           8,                      // with 5, half more refusals within the rate on 83 nodes with some missing
+		LoanLifetime:         200 * time.Millisecond, // two calls to lenders that do not respond
 		LoanLookahead:        50 * time.Millisecond,  // a tenth of a round, so that a loan serves several requests
 		Damping:              0.6,                    // corrects nine tenths of a change within 1.5 s
 		JoinTimeout:          700 * time.Millisecond, // longer than one round
@@ -70,7 +75,11 @@
 // keeps its share, which no other node can use meanwhile.
 //
 // Share is lost with messages and with nodes that depart permanently. A consistent snapshot of all shares
-// (see epoch.go) detects and restores it. A restarted node recovers the share that others last recorded for it.
+// (see epoch.go) detects and restores it. A restarted node recovers the share that others last recorded for it, and
+// tokens only for the time since its start (see join.go).
+//
+// In any window, all nodes together admit at most rate x window + burst requests: the tokens of all nodes, with those
+// that are lent, never exceed the burst.
 //
 // Shares follow demand within seconds. Until then, and for occasional requests at nodes with a small share, a
 // node that has run out of tokens borrows from others (see Lend).
@@ -80,12 +89,13 @@
 	config SharesConfig
 	self   Member
 
-	mu           sync.Mutex
-	joined       bool
-	completeAt   time.Time // first round with all members known
-	membersKnown bool      // all nodes that may join by themselves are known, or know this one
-	inheritedAt  time.Time // when another node reported this node's share; zero after joining with an even share
-	workspaces   map[string]*shareBucket
+	mu          sync.Mutex
+	joined      bool
+	joining     joining
+	inheritedAt time.Time // when another node reported this node's share; zero after joining with an even share
+	// sequence numbers the messages of this process.
+	sequence   uint64
+	workspaces map[string]*shareBucket
 	// workspacesDigest identifies the set of names in workspaces.
 	workspacesDigest uint64
 	members          map[string]*memberState
@@ -95,20 +105,31 @@
 	coordinator string
 	epoch       uint64
 	epochStart  time.Time
+	// snapshotPartial means that the shares in the snapshot of this epoch may not be those at its start.
+	snapshotPartial bool
 }
 
 // memberState is the last reported state of another node.
 type memberState struct {
 	Member
-	lastContact   time.Time
-	joined        bool
-	complete      bool
-	hasReported   bool // has reported its share since this node's start
-	epoch         uint64
-	snapshotFinal bool
+	lastContact time.Time
+	joined      bool
+	complete    bool
+	roster      Roster
+	hasReported bool // has reported its share since this node's start
+	// newest identifies the newest message, and reported the newest one with shares.
+	newest, reported messageID
+	// unanswered means that share has been transferred since the last contact.
+	unanswered      bool
+	loanFailed      bool // a loan has failed since the last contact
+	epoch           uint64
+	snapshotFinal   bool
+	snapshotPartial bool
 	// workspaces is the digest of the workspaces that the node knows; those without an entry are zero there.
 	workspaces uint64
 	entries    map[string]ShareEntry
+	// loanedAt is when the node last responded to a request for a loan since the last contact, by workspace.
+	loanedAt map[string]time.Time
 }
 
 type shareBucket struct {
@@ -123,15 +144,18 @@
 	quota      Quota
 	tokens     float64
 	refilledAt time.Time
-	// borrowed tokens of other nodes are usable until borrowedUntil.
-	borrowed      float64
-	borrowedUntil time.Time
+	// borrowed are the tokens of other nodes. lent are those that other nodes may still use; the bucket does not
+	// refill beyond its capacity less these.
+	borrowed, lent loanedTokens
+	// highestReported is the highest share in messages since reportedSince, earlierReport that of a window before.
+	highestReported, earlierReport float64
+	reportedSince                  time.Time
 	// admitted and refused count requests since the process started.
 	admitted, refused int64
 	// repeats counts sends beyond the first of a request that took a token, repeatsRefused those without a token.
 	repeats, repeatsRefused int64
-	// lent, borrowedTotal and expired count tokens given to other nodes, received from them, and not used in time.
-	lent, borrowedTotal, expired float64
+	// lentTotal, borrowedTotal and expired count tokens given to other nodes, received from them, and not used in time.
+	lentTotal, borrowedTotal, expired float64
 	// arrivals counts requests since the last update of the demand estimate.
 	arrivals float64
 	demand   float64
@@ -140,6 +164,9 @@
 
 // NewShares returns the Shares of a node that knows no other nodes and holds no share yet.
 func NewShares(self Member, config SharesConfig) *Shares {
+	if config.Process == 0 {
+		config.Process = uint64(time.Now().UnixNano())
+	}
 	return &Shares{
 		config: config, self: self, coordinator: self.Name, cycleRounds: 1,
 		workspaces: map[string]*shareBucket{}, members: map[string]*memberState{},
@@ -152,7 +179,9 @@
 func (s *Shares) SetMembers(others []Member, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.membersKnown = s.membersKnown || complete
+	if complete && !s.joining.membersKnown {
+		s.joining.complete(s.self, others)
+	}
 	members := make(map[string]*memberState, len(others))
 	changed := len(others) != len(s.members)
 	s.coordinator = s.self.Name
@@ -164,11 +193,17 @@
 		}
 		m := s.members[member.Name]
 		if m == nil {
-			m = &memberState{Member: member, entries: map[string]ShareEntry{}}
+			m = &memberState{Member: member, entries: map[string]ShareEntry{}, loanedAt: map[string]time.Time{}}
 			changed = true
 		}
 		members[member.Name] = m
 	}
+	for name, m := range s.members {
+		if members[name] == nil && m.joined {
+			// Others may hold share that the departed node transferred after its snapshot.
+			s.snapshotPartial = true
+		}
+	}
 	s.members = members
 	if changed {
 		for _, b := range s.workspaces {
@@ -222,6 +257,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.workspacesDigest = 0
+	s.joining.begin(now)
+	s.joining.workspacesKnown = true
 	for name := range s.workspaces {
 		if _, ok := quotas[name]; !ok {
 			delete(s.workspaces, name)
@@ -274,10 +311,11 @@
 	defer s.mu.Unlock()
 	status := make(map[string]ShareStatus, len(s.workspaces))
 	for name, b := range s.workspaces {
-		b.refill(s.usableShare(b), now)
+		b.refill(now)
+		b.expireBorrowed(now)
 		status[name] = ShareStatus{
 			Share: b.share, Demand: b.demand, Tokens: b.tokens, Admitted: b.admitted, Refused: b.refused,
-			Repeats: b.repeats, RepeatsRefused: b.repeatsRefused, Lent: b.lent, Borrowed: b.borrowedTotal, Expired: b.expired,
+			Repeats: b.repeats, RepeatsRefused: b.repeatsRefused, Lent: b.lentTotal, Borrowed: b.borrowedTotal, Expired: b.expired,
 			Holder: b.holders[s.self.Name], Corrected: b.corrected,
 		}
 	}
--- a/sidecar/loans.go
+++ b/sidecar/loans.go
@@ -95,15 +95,16 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, loanTimeout)
 	defer cancel()
+	asked := time.Now()
 	response, err := n.gossip.rpcClient(address).Borrow(ctx, &gossipv1.BorrowRequest{Node: n.settings().Node, Workspace: workspace, Tokens: tokens})
 	if err != nil {
 		n.metrics.loans.Add("failed", 1)
 		n.log.event("loan_failed").Str("lender", lender).Str("workspace", workspace).Err(err).Msg("cannot borrow tokens")
-		n.shares.RecordLoan(lender, workspace, 0, 0, time.Now())
+		n.shares.LoanFailed(lender)
 		return 0
 	}
 	n.metrics.loans.AddFloat("tokens", response.Given)
-	n.shares.RecordLoan(lender, workspace, response.Given, response.Left, time.Now())
+	n.shares.RecordLoan(lender, workspace, response.Given, response.Left, asked)
 	return response.Given
 }
 
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -136,7 +136,7 @@
 	n := &Node{
 		dependencies: dependencies, store: dependencies.Store, source: dependencies.Configuration, headers: dependencies.Headers,
 		log: newEventLog(log), incarnation: incarnation, generation: newStoreGeneration(dependencies.Store),
-		shares:     newShares(settings),
+		shares:     newShares(settings, incarnation),
 		picker:     balance.NewLatencyPicker(latencyConfig(settings), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewRepeatLimiter(retry.RepeatLimits{}),
 		limits:     backpressure.New(),
--- a/sidecar/shares.go
+++ b/sidecar/shares.go
@@ -9,8 +9,10 @@
 )
 
 // newShares returns the quota shares of a node, which are transferred in gossip exchanges.
-func newShares(settings *Settings) *ratelimit.Shares {
-	return ratelimit.NewShares(ratelimit.Member{Name: settings.Node, FailureDomain: settings.FailureDomain}, sharesConfig())
+func newShares(settings *Settings, incarnation uint64) *ratelimit.Shares {
+	config := sharesConfig()
+	config.Process = incarnation
+	return ratelimit.NewShares(ratelimit.Member{Name: settings.Node, FailureDomain: settings.FailureDomain}, config)
 }
 
 func sharesConfig() ratelimit.SharesConfig {
@@ -24,6 +26,9 @@
 	state.SharesJoined, state.SharesRemembered = message.Joined, message.HasReceiverShares
 	state.SharesComplete, state.SharesAssigned = message.Complete, message.Assigned
 	state.SharesEpoch, state.SharesSettled, state.WorkspacesDigest = message.Epoch, message.SnapshotFinal, message.Workspaces
+	state.SharesSequence, state.SharesPartial = message.Sequence, message.SnapshotPartial
+	state.SharesReportedIncarnation, state.SharesReportedSequence = message.ReportedProcess, message.ReportedSequence
+	state.SharesRosterSize, state.SharesRosterDigest = message.Roster.Size, message.Roster.Digest
 	for _, e := range message.Entries {
 		state.Shares = append(state.Shares, &gossipv1.Share{
 			Workspace: e.Workspace, Demand: float32(e.Demand), Share: float32(e.Share), Given: float32(e.Transfer),
@@ -38,6 +43,9 @@
 	message := ratelimit.ShareMessage{
 		Joined: state.SharesJoined, HasReceiverShares: state.SharesRemembered, Epoch: state.SharesEpoch, SnapshotFinal: state.SharesSettled,
 		Complete: state.SharesComplete, Assigned: state.SharesAssigned, Workspaces: state.WorkspacesDigest, Entries: make([]ratelimit.ShareEntry, 0, len(state.Shares)),
+		Process: state.Incarnation, Sequence: state.SharesSequence, SnapshotPartial: state.SharesPartial,
+		ReportedProcess: state.SharesReportedIncarnation, ReportedSequence: state.SharesReportedSequence,
+		Roster: ratelimit.Roster{Size: state.SharesRosterSize, Digest: state.SharesRosterDigest},
 	}
 	for _, e := range state.Shares {
 		entry := ratelimit.ShareEntry{
