retry, backpressure: allocation of scarce repeats by rank, and limits of what they carry

Cause: when the upstreams of a service refuse about half of all calls, a budget of a fifth spent evenly completes nearly no request that needs eight calls. Change: RepeatLimiter grants repeats by rank while fewer are allowed than wanted, its base is the window before while entry nodes refuse, and calls of repeated runs are charged as repeats.

--- a/lineage/lineage.go
+++ b/lineage/lineage.go
@@ -23,6 +23,10 @@
 	Route      string
 	Importance call.Importance
 	ShedOrder  uint16
+	// Repeated means that the request may have run before.
+	Repeated bool
+	// Answered is the number of calls of the request that were answered.
+	Answered int
 }
 
 // Tracker holds the running requests of one upstream. Its zero value is empty.
@@ -50,6 +54,7 @@
 		t.runs[requestID] = e
 	}
 	e.attempts++
+	e.Repeated = e.Repeated || run.Repeated
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -64,10 +69,26 @@
 func (t *Tracker) Parent(requestID string) (Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if e := t.parent(requestID); e != nil {
+		return e.Run, true
+	}
+	return Run{}, false
+}
+
+// Answered counts an answered call for the running request that made it, if that is known.
+func (t *Tracker) Answered(requestID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.parent(requestID); e != nil {
+		e.Run.Answered++
+	}
+}
+
+func (t *Tracker) parent(requestID string) *entry {
 	for end := strings.LastIndexByte(requestID, separator); end > 0; end = strings.LastIndexByte(requestID[:end], separator) {
 		if e := t.runs[requestID[:end]]; e != nil {
-			return e.Run, true
+			return e
 		}
 	}
-	return Run{}, false
+	return nil
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -90,6 +90,7 @@
 		CallerService:          c.CallerService,
 		ShedOrder:              uint32(c.ShedOrder),
 		Inner:                  c.Inner,
+		Repeated:               c.Repeated,
 	}
 }
 
@@ -145,6 +146,7 @@
 				CallerService: m.CallerService,
 				ShedOrder:     uint16(min(m.ShedOrder, uint32(call.RanksPerClass)-1)),
 				Inner:         m.Inner,
+				Repeated:      m.Repeated,
 			},
 			Method: m.Method,
 			Target: m.Target,
@@ -160,6 +162,7 @@
 		Admitted:     uint32(l.Admitted),
 		Draining:     l.Draining,
 		ShedFrom:     uint32(l.ShedFrom),
+		CarryFrom:    uint32(l.CarryFrom),
 	}
 }
 
@@ -171,6 +174,7 @@
 		Admitted:   call.Importance(min(m.GetAdmitted(), uint32(call.Sheddable))),
 		Draining:   m.GetDraining(),
 		ShedFrom:   decodeRank(m.GetShedFrom()),
+		CarryFrom:  decodeRank(m.GetCarryFrom()),
 	}
 }
 
@@ -190,7 +194,7 @@
 func encodeLimits(limits []call.ServiceLimit) []*callv1.ServiceLimit {
 	var encoded []*callv1.ServiceLimit
 	for _, l := range limits {
-		encoded = append(encoded, &callv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), AgeUs: l.Age.Microseconds()})
+		encoded = append(encoded, &callv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), CarryFrom: uint32(l.CarryFrom), AgeUs: l.Age.Microseconds()})
 	}
 	return encoded
 }
@@ -199,7 +203,7 @@
 	var limits []call.ServiceLimit
 	for _, l := range encoded {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), Age: DecodeAge(l.AgeUs),
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), CarryFrom: decodeRank(l.CarryFrom), Age: DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -3,11 +3,13 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cowslipglade/cowslipglade/call"
 )
 
 // RepeatLimiter bounds the repeated sends to each service by a fraction of the requests for it within a
 // sliding window. Each node limits only its own sends, so the bound also holds for the sum over all nodes.
-// It is safe for concurrent use.
+// Scarce repeats go to the most important calls first. It is safe for concurrent use.
 type RepeatLimiter struct {
 	mu       sync.Mutex
 	limits   RepeatLimits
@@ -23,21 +25,66 @@
 	// Slack is the number of repeated sends per window that is always allowed.
 	Slack float64
 	// MayHaveRunFraction is the fraction of Ratio and Slack available to requests that may have run. When
-	// repeated, such a request makes its own calls again. These count as repeats at every service below,
-	// but nodes cannot distinguish them from other calls. The fraction must therefore be small enough for
-	// a chain of calls that fail at every depth.
+	// repeated, such a request makes its own calls again, which count as repeats at every service below. The fraction
+	// must be small enough for a chain of calls that fail at every depth.
 	MayHaveRunFraction float64
 }
 
-// windowSlots is the number of slots of a window. Repeats in the slot that is expiring count in full.
-const windowSlots = 10
+// Repeat describes a repeated send.
+type Repeat struct {
+	// MayHaveRun means that an earlier send may have run.
+	MayHaveRun bool
+	// Rank is the rank of the call. Scarce repeats go to the lowest ranks.
+	Rank call.Rank
+	// Answered is the number of calls of the request that were answered. Of calls of equal rank, those of requests of
+	// which more is done precede.
+	Answered int
+	// EntryLimited means that nodes refuse requests that lead to the service. The requests of the current window are
+	// then fewer than those that were offered, and those of the window before are the base of the limit.
+	EntryLimited bool
+}
+
+// Verdict is the decision about a repeated send.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Granted Verdict = iota
+	// DeniedByRank means that calls of lower ranks need the repeats that are left.
+	DeniedByRank
+	// DeniedByBudget means that none is left in the window.
+	DeniedByBudget
+)
+
+var verdictNames = [...]string{"granted", "denied_rank", "denied_budget"}
+
+// String returns the name used in metrics and log lines.
+func (v Verdict) String() string { return verdictNames[v] }
+
+const (
+	// windowSlots is the number of slots of a window. Repeats in the slot that is expiring count in full.
+	windowSlots = 10
+	// requestSlots covers the current window and the one before.
+	requestSlots = 2 * windowSlots
+	// entryLimitedSlots is how long after EntryLimited the window before stays the base: until the current window holds
+	// half a window of requests again.
+	entryLimitedSlots = windowSlots / 2
+	// maxServices bounds the memory for counts, and maxDemands that for the demand by rank. Services without the latter
+	// have only the bound of the window.
+	maxServices = 1024
+	maxDemands  = 64
+)
 
 type repeatCounts struct {
-	slot     int64
-	requests [windowSlots]float64
-	repeats  [windowSlots + 1]float64
-	// afterMayHaveRun counts the repeats of requests that may have run.
+	slot, firstSlot int64
+	requests        [requestSlots]float64
+	// repeats counts the granted repeats and the sends of requests that are repeats already.
+	repeats [windowSlots + 1]float64
+	// afterMayHaveRun counts the granted repeats of requests that may have run.
 	afterMayHaveRun [windowSlots + 1]float64
+	// entryLimitedAt is the slot of the last repeat with EntryLimited.
+	entryLimitedAt int64
+	demand         *demand
 }
 
 // NewRepeatLimiter returns a limiter without any requests counted.
@@ -52,30 +99,103 @@
 	l.limits = limits
 }
 
-// RecordRequest counts a request for a service. Its repeats are counted by AllowRepeat only.
-func (l *RepeatLimiter) RecordRequest(service string, now time.Time) {
+// RecordRequest counts a request for a service. Its repeats are counted by AllowRepeat only. A request that is made by
+// the repeated run of another counts as a repeat itself.
+func (l *RepeatLimiter) RecordRequest(service string, repeated bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.counts(service, now)
-	c.requests[c.slot%windowSlots]++
+	if c == nil {
+		return
+	}
+	if repeated {
+		c.repeats[c.slot%(windowSlots+1)]++
+	} else {
+		c.requests[c.slot%requestSlots]++
+	}
+	if c.demand != nil {
+		c.demand.decay(now)
+		c.demand.sends++
+	}
 }
 
-// AllowRepeat reports whether a request may be sent once more, and counts the repeat if so. mayHaveRun
-// means that an earlier send may have run.
-func (l *RepeatLimiter) AllowRepeat(service string, mayHaveRun bool, now time.Time) bool {
+// AllowRepeat decides whether a request may be sent once more, and counts the repeat if so.
+func (l *RepeatLimiter) AllowRepeat(service string, repeat Repeat, now time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.counts(service, now)
-	allowed := l.limits.Ratio*sum(c.requests[:]) + l.limits.Slack
-	if sum(c.repeats[:])+1 > allowed || mayHaveRun && sum(c.afterMayHaveRun[:])+1 > allowed*l.limits.MayHaveRunFraction {
-		return false
+	if c == nil {
+		return DeniedByBudget
+	}
+	if repeat.EntryLimited {
+		c.entryLimitedAt = c.slot
+	}
+	l.updateDemand(c, now)
+	allowed := l.limits.Ratio*c.base() + l.limits.Slack
+	if repeat.MayHaveRun && sum(c.afterMayHaveRun[:])+1 > allowed*l.limits.MayHaveRunFraction {
+		return DeniedByBudget // no lower rank needs what it wants
+	}
+	verdict := l.decide(c, repeat, allowed)
+	if c.demand != nil {
+		c.demand.record(repeat.Rank, verdict == Granted)
+	}
+	if verdict != Granted {
+		return verdict
 	}
 	slot := c.slot % (windowSlots + 1)
 	c.repeats[slot]++
-	if mayHaveRun {
+	if repeat.MayHaveRun {
 		c.afterMayHaveRun[slot]++
 	}
-	return true
+	return Granted
+}
+
+func (l *RepeatLimiter) decide(c *repeatCounts, repeat Repeat, allowed float64) Verdict {
+	repeats := sum(c.repeats[:])
+	switch {
+	case repeats+1 > allowed:
+		return DeniedByBudget
+	case c.demand == nil || allowed <= freeRepeats || repeats+1 <= freeFraction*allowed || c.demand.allows(repeat, room(allowed, l.limits.Window)):
+		return Granted
+	}
+	return DeniedByRank
+}
+
+// updateDemand ages the demand of a service. It is counted from the first wanted repeat.
+func (l *RepeatLimiter) updateDemand(c *repeatCounts, now time.Time) {
+	if c.demand != nil {
+		c.demand.decay(now)
+		return
+	}
+	demands := 0
+	for _, other := range l.services {
+		if other.demand != nil {
+			demands++
+		}
+	}
+	if demands < maxDemands {
+		c.demand = &demand{updated: now, sends: c.requests[c.slot%requestSlots]}
+	}
+}
+
+// base returns the number of requests to which the limit applies. All nodes use the same window at the same time, so that
+// the sum over all nodes is that of one window.
+func (c *repeatCounts) base() float64 {
+	before := 0.0
+	current := 0.0
+	for age := range int64(requestSlots) {
+		n := c.requests[(c.slot-age+requestSlots)%requestSlots]
+		if age < windowSlots {
+			current += n
+		} else {
+			before += n
+		}
+	}
+	limited := c.entryLimitedAt != 0 && c.slot-c.entryLimitedAt <= entryLimitedSlots
+	if limited && c.slot-c.firstSlot >= requestSlots {
+		return before
+	}
+	return current
 }
 
 func sum(counts []float64) float64 {
@@ -86,20 +206,39 @@
 	return total
 }
 
-// counts returns the counts of a service after clearing the slots that have left the window.
+// counts returns the counts of a service after clearing the slots that have left the window, or nil if there are too many
+// services.
 func (l *RepeatLimiter) counts(service string, now time.Time) *repeatCounts {
 	slot := now.UnixNano() / max(1, int64(l.limits.Window)/windowSlots)
 	c := l.services[service]
 	if c == nil {
-		c = &repeatCounts{slot: slot}
+		if len(l.services) >= maxServices {
+			l.evict(slot)
+		}
+		if len(l.services) >= maxServices {
+			return nil
+		}
+		c = &repeatCounts{slot: slot, firstSlot: slot}
 		l.services[service] = c
 	}
-	for skipped := 0; c.slot < slot && skipped <= windowSlots; skipped++ {
+	if slot-c.slot >= requestSlots {
+		c.firstSlot = slot // the earlier counts have left both windows
+	}
+	for skipped := 0; c.slot < slot && skipped <= requestSlots; skipped++ {
 		c.slot++
-		c.requests[c.slot%windowSlots] = 0
+		c.requests[c.slot%requestSlots] = 0
 		c.repeats[c.slot%(windowSlots+1)] = 0
 		c.afterMayHaveRun[c.slot%(windowSlots+1)] = 0
 	}
 	c.slot = max(c.slot, slot)
 	return c
 }
+
+// evict removes the services whose counts have left both windows.
+func (l *RepeatLimiter) evict(slot int64) {
+	for name, c := range l.services {
+		if slot-c.slot > requestSlots {
+			delete(l.services, name)
+		}
+	}
+}
--- a/retry/repeat_limiter_test.go
+++ b/retry/repeat_limiter_test.go
@@ -29,14 +29,14 @@
 		if level == depth {
 			return
 		}
-		limiter.RecordRequest(names[level], now)
+		limiter.RecordRequest(names[level], false, now)
 		if repeated {
 			repeats[level]++
 		} else {
 			firsts[level]++
 		}
 		run(level+1, repeated)
-		if limiter.AllowRepeat(names[level], true, now) {
+		if limiter.AllowRepeat(names[level], Repeat{MayHaveRun: true}, now) == Granted {
 			repeats[level]++
 			run(level+1, true)
 		}
@@ -55,10 +55,10 @@
 	limiter := NewRepeatLimiter(RepeatLimits{Window: 10 * time.Second, Ratio: 0.1, Slack: 2, MayHaveRunFraction: 0.5})
 	now := time.Unix(100, 0)
 	for range 20 {
-		limiter.RecordRequest("s", now)
+		limiter.RecordRequest("s", false, now)
 	}
 	count := func(mayHaveRun bool, at time.Time) (n int) {
-		for limiter.AllowRepeat("s", mayHaveRun, at) {
+		for limiter.AllowRepeat("s", Repeat{MayHaveRun: mayHaveRun}, at) == Granted {
 			n++
 		}
 		return n
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -276,7 +276,8 @@
 	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
-		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
+		load := n.localLoad(u)
+		state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
 	}
 	encodeLimits(state, n.limits.All(time.Now()))
 	encodeShares(state, n.shares.PrepareMessage(peer, time.Now()))
@@ -365,7 +366,8 @@
 	now := time.Now()
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
-			n.limits.RecordDestination(service, state.Node, call.Rank(min(state.ShedFrom, uint32(call.RankLimit))), now.Add(-age))
+			n.limits.RecordDestination(service, state.Node, decodeRank(state.ShedFrom), now.Add(-age))
+			n.limits.RecordCarry(service, state.Node, decodeRank(state.CarryFrom), now.Add(-age))
 		}
 		n.limits.Relay(decodeLimits(state), now.Add(-age))
 	}
@@ -384,7 +386,9 @@
 // encodeLimits adds the limits of overloaded services to the state of an exchange.
 func encodeLimits(state *gossipv1.State, limits []call.ServiceLimit) {
 	for _, l := range limits {
-		state.Limits = append(state.Limits, &gossipv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), AgeUs: l.Age.Microseconds()})
+		state.Limits = append(state.Limits, &gossipv1.ServiceLimit{
+			Service: l.Service, ShedFrom: uint32(l.ShedFrom), CarryFrom: uint32(l.CarryFrom), AgeUs: l.Age.Microseconds(),
+		})
 	}
 }
 
@@ -393,12 +397,14 @@
 	limits := make([]call.ServiceLimit, 0, len(state.Limits))
 	for _, l := range state.Limits {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: call.Rank(min(l.ShedFrom, uint32(call.RankLimit))), Age: peer.DecodeAge(l.AgeUs),
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), CarryFrom: decodeRank(l.CarryFrom), Age: peer.DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
 }
 
+func decodeRank(rank uint32) call.Rank { return call.Rank(min(rank, uint32(call.RankLimit))) }
+
 // applyConfiguration applies a newer configuration from a peer, or the age of the peer's configuration if
 // the revision is the same. A peer that does not know this node yet sends only the revision.
 func (g *gossip) applyConfiguration(state *gossipv1.State, preparedAt time.Time) {
