sidecar: scarce repeats by rank, and refusals by upstreams that reach entry nodes

Cause: while the last service refused 0.55 of all calls, a repeat was bound by the attempts of the route and spent evenly, so that nearly all requests with eight such calls failed after their work was done. Change: a send that an upstream refused without running it is bound by the budget and the time of the caller only; the node beside an upstream reports what the budget carries, and entry nodes refuse the rest; calls made by repeated runs are marked and charged where they are made, so that nodes spend 0.9 of the budget in place of 0.6; a request that reaches no upstream is no base of the budget; a node that does not know all others has no slack.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -249,19 +249,22 @@
 	return report{mean(direct), newest}, true
 }
 
-// Carried reports whether the retry budget carries all calls of a service, as far as this node knows.
-func (l *Limits) Carried(name string, now time.Time) bool {
+// CarryFrom returns the lowest rank of calls of a service that the retry budget cannot carry, as far as this node knows. It
+// is RankLimit if it carries all.
+func (l *Limits) CarryFrom(name string, now time.Time) call.Rank {
 	if !l.active.Load() {
-		return true
+		return call.RankLimit
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.services[name]
 	if s == nil {
-		return true
+		return call.RankLimit
 	}
-	r, ok := s.carryLimit(now)
-	return !ok || r.from >= call.RankLimit
+	if r, ok := s.carryLimit(now); ok {
+		return r.from
+	}
+	return call.RankLimit
 }
 
 // Strictest returns the lowest limit among a route's own service and those it leads to, and the service that has
--- a/backpressure/carry.go
+++ b/backpressure/carry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/retry"
 )
 
 // Carry derives from the refusals of an upstream itself the ranks of calls that the retry budget can carry.
@@ -16,20 +17,23 @@
 // calls by rank that came before, so it can tell which part. Nodes where requests enter refuse the others before any
 // work is done for them. Refusals within the budget are no overload: retries hide them.
 //
-// The requests that enter nodes refuse are missing here, so the calls by rank are remembered while there is a limit. The
-// budget follows the requests of the window before; see retry.RepeatLimiter.
+// The calls of requests that are refused where they enter are missing here, so the calls by rank are remembered while
+// there is a limit, and scaled by the growth at the ranks that are carried. The budget follows the requests of the window
+// before; see retry.RepeatLimiter.
 //
 // Carry has no clock and is safe for concurrent use.
 type Carry struct {
 	mu sync.Mutex
 	// answered and refused are decayed counts of calls, updated is when they were last decayed.
 	answered, refused float64
-	updated           time.Time
-	// live is the decayed number of answered calls by rank; held is its largest value lately.
+	// streak is the number of calls answered since the last refusal.
+	streak  int
+	updated time.Time
+	// live is the decayed number of calls by rank, each counted once; held follows it while there is no limit.
 	live, held [carryBuckets]float64
-	// history counts the answered calls by second, and those refused while there was no limit.
-	history      [carryHistory]float64
-	second, from int64
+	// history counts the calls by second, each once, repeats the further arrivals.
+	history, repeats [carryHistory]float64
+	second, from     int64
 	// limit is the lowest rank that is not carried, as of adjusted.
 	limit    float64
 	adjusted time.Time
@@ -38,28 +42,42 @@
 const (
 	// carryStep is the time between two updates of the limit.
 	carryStep = 50 * time.Millisecond
-	// ratioMemory is the time constant of the ratio of refusals.
-	ratioMemory = 400 * time.Millisecond
+	// ratioMemory is the time constant of the ratio of refusals, and fewMemory that while there are fewer calls than
+	// fewCalls within it.
+	ratioMemory = 250 * time.Millisecond
+	fewMemory   = 600 * time.Millisecond
+	fewCalls    = 50
 	// minCarrySample is the number of calls within the memory below which the ratio says nothing.
-	minCarrySample = 30
+	minCarrySample = 15
+	// calmStreak is the number of calls answered one after the other that shows that the refusals have ended, while few
+	// calls are let in. At a ratio of refusals of one in three, it is reached by chance once in 400 calls.
+	calmStreak = 15
 	// maxRefusals bounds the ratio for which retries are planned.
 	maxRefusals = 0.98
-	// liveMemory is the time constant of the calls by rank, heldMemory that of what is remembered without a limit. The
-	// latter covers a pause between refusals.
-	liveMemory = 2 * time.Second
+	// liveMemory is the time constant of the calls by rank, heldMemory that of what is remembered. The latter covers a
+	// pause between refusals.
+	liveMemory = time.Second
 	heldMemory = 5 * time.Second
+	// maxScale bounds the growth of demand that is derived from the ranks that are carried, of which there must have been
+	// minScaleSample calls.
+	maxScale       = 2.0
+	minScaleSample = 8.0
 	// carryBuckets divide the ranks in the histogram.
 	carryBuckets     = 144
 	carryBucketRanks = call.RankLimit / carryBuckets
 	// carryHistory covers two windows of the retry budget of 10 s and the current second.
 	carryHistory = 21
-	baseAge      = 10
+	// baseAge is the length of a window in seconds.
+	baseAge = 10
 	// carryRise is the number of ranks a second by which the limit rises while there are refusals, calmRise when these
 	// have ended.
 	carryRise = float64(call.RanksPerStep)
-	calmRise  = float64(call.RankLimit)
+	calmRise  = 2 * float64(call.RankLimit)
 	// maxCarryRise bounds the time for which the limit rises at once after a pause.
 	maxCarryRise = 200 * time.Millisecond
+	// carryMargin is the fraction of the budget that is planned. The budgets of the nodes that send the calls are not
+	// spent evenly.
+	carryMargin = 0.95
 	// minCarry is the least limit: some requests must show when the refusals end.
 	minCarry = float64(call.RanksPerStep) / 16
 )
@@ -68,22 +86,26 @@
 func NewCarry() *Carry { return &Carry{limit: float64(call.RankLimit)} }
 
 // Record counts a call that the upstream has run, or has refused without running it.
-func (c *Carry) Record(rank call.Rank, refused bool, now time.Time) {
+func (c *Carry) Record(sent *call.Context, refused bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(now)
 	if refused {
 		c.refused++
-		if c.limited() {
-			return
-		}
+		c.streak = 0
 	} else {
 		c.answered++
+		c.streak++
+	}
+	if c.streak >= calmStreak {
+		c.refused = 0
+	}
+	if !sent.Resent && !sent.Repeated {
+		c.history[c.second%carryHistory]++
+		c.live[min(sent.Rank(), call.RankLimit-1)/carryBucketRanks]++
+	} else {
+		c.repeats[c.second%carryHistory]++
 	}
-	c.history[c.second%carryHistory]++
-	bucket := min(rank, call.RankLimit-1) / carryBucketRanks
-	c.live[bucket]++
-	c.held[bucket] = max(c.held[bucket], c.live[bucket])
 }
 
 func (c *Carry) limited() bool { return c.limit < float64(call.RankLimit) }
@@ -99,7 +121,7 @@
 	}
 	for skipped := 0; c.second < second && skipped < carryHistory; skipped++ {
 		c.second++
-		c.history[c.second%carryHistory] = 0
+		c.history[c.second%carryHistory], c.repeats[c.second%carryHistory] = 0, 0
 	}
 	c.second = max(c.second, second)
 	elapsed := now.Sub(c.updated)
@@ -107,16 +129,19 @@
 		return
 	}
 	c.updated = now
-	ratio := math.Exp(-elapsed.Seconds() / ratioMemory.Seconds())
+	memory := ratioMemory
+	if c.answered+c.refused < fewCalls {
+		memory = fewMemory
+	}
+	ratio := math.Exp(-elapsed.Seconds() / memory.Seconds())
 	c.answered *= ratio
 	c.refused *= ratio
 	live, held := math.Exp(-elapsed.Seconds()/liveMemory.Seconds()), math.Exp(-elapsed.Seconds()/heldMemory.Seconds())
-	if c.limited() {
-		held = 1
-	}
 	for i := range c.live {
 		c.live[i] *= live
-		c.held[i] = max(c.held[i]*held, c.live[i])
+		if !c.limited() {
+			c.held[i] += (c.live[i] - c.held[i]) * (1 - held)
+		}
 	}
 }
 
@@ -133,6 +158,16 @@
 	return total / float64(max(1, seconds)), seconds > 0
 }
 
+// pace returns the repeats per second that the nodes that send the calls may make, with budget repeats for each of base
+// requests per second.
+func (c *Carry) pace(budget, base float64) float64 {
+	used := 0.0
+	for age := range int64(baseAge) {
+		used += c.repeats[(c.second-age+carryHistory)%carryHistory]
+	}
+	return retry.Pace(budget*base*baseAge, used) / baseAge
+}
+
 // Limit returns the lowest rank whose calls cannot be carried with budget repeats for each request, or 0 if all can.
 func (c *Carry) Limit(budget float64, now time.Time) call.Rank {
 	c.mu.Lock()
@@ -153,16 +188,32 @@
 	if calls := c.answered + c.refused; calls >= minCarrySample {
 		ratio := min(maxRefusals, c.refused/calls)
 		perCall := ratio / (1 - ratio) // geometric: each repeat is refused as often as the first send
-		if base, known := c.base(); known && perCall > budget {
-			next, rise = max(minCarry, c.rankBelow(budget*base/perCall)), carryRise
+		if base, known := c.base(); known && perCall > budget*retry.PaceFraction {
+			next, rise = max(minCarry, c.rankBelow(carryMargin*c.pace(budget, base)/perCall)), carryRise
 		}
 	}
 	c.limit = min(next, c.limit+rise*elapsed.Seconds())
 }
 
+// scale returns the growth of demand since the limit holds, from the ranks that are carried. Fewer calls don't show less
+// demand: requests that fail halfway make fewer.
+func (c *Carry) scale() float64 {
+	if !c.limited() {
+		return 1
+	}
+	live, held := 0.0, 0.0
+	for i := range int(c.limit) / int(carryBucketRanks) {
+		live, held = live+c.live[i], held+c.held[i]
+	}
+	if held < minScaleSample {
+		return 1
+	}
+	return min(max(live/held, 1), maxScale)
+}
+
 // rankBelow returns the rank below which a number of calls per second lie.
 func (c *Carry) rankBelow(perSecond float64) float64 {
-	left := perSecond * liveMemory.Seconds()
+	left := perSecond * liveMemory.Seconds() / c.scale()
 	for i, n := range c.held {
 		if left <= n {
 			return (float64(i) + left/max(1, n)) * float64(carryBucketRanks)
--- a/call/call.go
+++ b/call/call.go
@@ -101,7 +101,9 @@
 	Inner bool
 	// Repeated means that an earlier send of the request, or of the request that made it, may have run. The calls that
 	// the request makes are then repeats, too.
-	Repeated   bool
+	Repeated bool
+	// Resent means that an upstream has refused an earlier send of the call without running it.
+	Resent     bool
 	Idempotent bool
 	Deadline   time.Time
 	// RetryBudget is the number of extra attempts that this call and its downstream calls may use.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -91,6 +91,7 @@
 		ShedOrder:              uint32(c.ShedOrder),
 		Inner:                  c.Inner,
 		Repeated:               c.Repeated,
+		Resent:                 c.Resent,
 	}
 }
 
@@ -147,6 +148,7 @@
 				ShedOrder:     uint16(min(m.ShedOrder, uint32(call.RanksPerClass)-1)),
 				Inner:         m.Inner,
 				Repeated:      m.Repeated,
+				Resent:        m.Resent,
 			},
 			Method: m.Method,
 			Target: m.Target,
--- a/retry/allocation.go
+++ b/retry/allocation.go
@@ -22,16 +22,27 @@
 	PaceFraction = 0.85
 	// freeFraction is the fraction of the budget up to which repeats are granted without regard to rank. A short burst
 	// of refusals isn't scarcity.
-	freeFraction = 0.2
+	freeFraction = 0.1
 	// freeRepeats is the number of repeats wanted lately, and that of all repeats allowed in a window, up to which rank
 	// does not matter: a node that makes few calls cannot tell scarcity from chance.
 	freeRepeats = 5.0
-	// demandMemory is the time constant of the demand. It covers several hundred repeats at a busy node.
-	demandMemory = 2 * time.Second
+	// The time constant of the demand covers demandSample granted repeats, within these bounds. Before it has passed,
+	// more than the pace is granted.
+	demandSample    = 20.0
+	minDemandMemory = 500 * time.Millisecond
+	maxDemandMemory = 2 * time.Second
 	// demandStep is the time between two updates of the decay.
 	demandStep = 50 * time.Millisecond
 	// maxDeniedWeight bounds the repeats that a denied call is expected to have wanted after the denied one.
 	maxDeniedWeight = 10.0
+	// carriedRoom is the room for calls of requests that were let in because the budget carries them, as a multiple of
+	// the pace, while more than carriedLeft of the budget is left. The limit of these requests follows what the fleet
+	// has left. A request whose calls are made by several nodes fails if one of these has less room than others.
+	carriedRoom = 1.6
+	carriedLeft = 0.1
+	// lastPace bounds the pace to what is left in the window, as a multiple of it per window. It spreads the shortage at
+	// the end of a window over its time.
+	lastPace = 3.0
 	// startedShare is the part of the last rank served that is left to requests of which something is done.
 	startedShare = 0.5
 )
@@ -39,6 +50,7 @@
 // demand holds the repeats wanted lately by rank. It takes 18 KB.
 type demand struct {
 	updated time.Time
+	memory  time.Duration
 	wanted  [call.RankLimit]float32
 	granted [call.RankLimit]float32
 	// sends, repeats and grants are totals of the sends, the repeats that these wanted, and those granted. total is the
@@ -52,7 +64,7 @@
 	if elapsed < demandStep {
 		return
 	}
-	factor := math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+	factor := math.Exp(-elapsed.Seconds() / d.memory.Seconds())
 	d.updated = now
 	d.sends *= factor
 	d.repeats *= factor
@@ -64,10 +76,22 @@
 	}
 }
 
+// Pace returns the number of repeats to spend evenly over a window, of which allowed may be granted and used have been in
+// the one that ends now.
+func Pace(allowed, used float64) float64 {
+	return max(0, min(PaceFraction*allowed, lastPace*(allowed-used)))
+}
+
 // room returns the number of repeats that may be granted within the memory of the demand, if allowed may be granted in
-// a window.
-func room(allowed float64, window time.Duration) float64 {
-	return max(PaceFraction*allowed*demandMemory.Seconds()/window.Seconds(), freeRepeats)
+// a window and used have been.
+func (d *demand) room(repeat Repeat, allowed, used float64, window time.Duration) float64 {
+	pace := Pace(allowed, used) / window.Seconds()
+	if repeat.EntryLimited && repeat.Carried && allowed-used > carriedLeft*allowed {
+		pace = carriedRoom * PaceFraction * allowed / window.Seconds()
+	}
+	memory := min(demandSample/max(pace, 1), maxDemandMemory.Seconds())
+	d.memory = max(minDemandMemory, time.Duration(memory*float64(time.Second)))
+	return max(pace*d.memory.Seconds(), freeRepeats)
 }
 
 // allows reports whether one more repeat of a rank fits into the room that more important ranks leave.
--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -42,6 +42,9 @@
 	// EntryLimited means that nodes refuse requests that lead to the service. The requests of the current window are
 	// then fewer than those that were offered, and those of the window before are the base of the limit.
 	EntryLimited bool
+	// Carried means that the request is not one of these. All nodes agree about that, while each has its own count of
+	// what ranks want.
+	Carried bool
 }
 
 // Verdict is the decision about a repeated send.
@@ -119,6 +122,21 @@
 	}
 }
 
+// RetractRequest takes back a request that has not arrived at any upstream: operators count arrivals.
+func (l *RepeatLimiter) RetractRequest(service string, repeated bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts(service, now)
+	if c == nil {
+		return
+	}
+	count := &c.requests[c.slot%requestSlots]
+	if repeated {
+		count = &c.repeats[c.slot%(windowSlots+1)]
+	}
+	*count = max(0, *count-1) // what remains of requests of earlier slots leaves the window with these
+}
+
 // AllowRepeat decides whether a request may be sent once more, and counts the repeat if so.
 func (l *RepeatLimiter) AllowRepeat(service string, repeat Repeat, now time.Time) Verdict {
 	l.mu.Lock()
@@ -155,7 +173,7 @@
 	switch {
 	case repeats+1 > allowed:
 		return DeniedByBudget
-	case c.demand == nil || allowed <= freeRepeats || repeats+1 <= freeFraction*allowed || c.demand.allows(repeat, room(allowed, l.limits.Window)):
+	case c.demand == nil || allowed <= freeRepeats || repeats+1 <= freeFraction*allowed || c.demand.allows(repeat, c.demand.room(repeat, allowed, repeats, l.limits.Window)):
 		return Granted
 	}
 	return DeniedByRank
@@ -174,7 +192,7 @@
 		}
 	}
 	if demands < maxDemands {
-		c.demand = &demand{updated: now, sends: c.requests[c.slot%requestSlots]}
+		c.demand = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%requestSlots]}
 	}
 }
 
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -121,7 +121,7 @@
 // refuseLocal adds the load to a refusal, counts it and logs it.
 func (n *Node) refuseLocal(req *call.Request, refusal *call.Refusal, u *localUpstream) *call.Refusal {
 	if u != nil {
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load, refusal.Limits = &load, n.limits.Below(req.Route, req.Service, time.Now())
 	}
 	n.metrics.refused.Add(string(refusal.Code), 1)
@@ -160,7 +160,7 @@
 		RequestID: req.RequestID, Timeout: time.Until(req.Deadline), Instance: u.Instance, Workspace: req.Workspace, CallerService: req.CallerService,
 	})
 	start := time.Now()
-	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder})
+	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder, Repeated: req.Repeated})
 	releaseSlot := release
 	release = func(result admission.Result) {
 		end()
@@ -172,18 +172,20 @@
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
 		refusal := upstreamRefusal(err)
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load = &load
 		return nil, refusal
 	}
-	if refusal := n.checkResponse(u, req, response); refusal != nil {
+	refusal := n.checkResponse(u, req, response)
+	n.carry.Record(&req.Context, refusal != nil && refusal.Code == call.CodeUpstreamRefused, time.Now())
+	if refusal != nil {
 		_ = response.Body.Close()
 		release(admission.Failed)
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load = &load
 		return nil, refusal
 	}
-	response.Load, response.Limits = u.gate.Load(), n.limits.Below(req.Route, req.Service, time.Now())
+	response.Load, response.Limits = n.localLoad(u), n.limits.Below(req.Route, req.Service, time.Now())
 	if response.Buffered {
 		release(admissionResult(response))
 	} else {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -25,22 +25,29 @@
 	hedgeFactor = 4
 	// minHedgeDelay prevents hedging within the normal latency variance of short calls.
 	minHedgeDelay = 60 * time.Millisecond
-	// repeatBudgetFraction is the fraction of the operators' limit for repeated sends that nodes spend. The
-	// rest is left for calls made by repeated requests, which count as repeats but cannot be distinguished
-	// from other calls.
-	repeatBudgetFraction = 0.6
-	// mayHaveRunFraction is the fraction of that budget available to requests that may have run and would
-	// make their downstream calls again. In a chain of four services, 0.6 + 3 * 0.6 * 0.2 stays within the
-	// limit.
-	mayHaveRunFraction = 0.2
+	// repeatBudgetFraction is the fraction of the operators' limit for repeated sends that nodes spend. Calls made by
+	// repeated requests are charged where they are made. The rest is left for nodes that have more of these than they
+	// may repeat, see retry.TestBudgetShareOfChain.
+	repeatBudgetFraction = 0.9
+	// repeatSlackFraction is the fraction of the operators' slack that nodes spend. A restarted node spends its share
+	// again.
+	repeatSlackFraction = 0.6
+	// mayHaveRunFraction is the fraction of that budget available to requests that may have run and would make their
+	// downstream calls again. Of the operators' limit it is 0.12, so that in a chain of four services the calls of
+	// repeated requests take 0.36.
+	mayHaveRunFraction = 0.133
 )
 
 // updateRepeatLimits sets this node's part of the operators' limit for repeated sends.
 func (n *Node) updateRepeatLimits() {
 	s := n.settings()
-	nodes := float64(len(n.registry.others()) + 1)
+	n.repeatNodes = max(n.repeatNodes, len(n.registry.others())+1)
+	slack := 0.0 // a part of all nodes is known at first
+	if n.registry.isComplete() {
+		slack = s.RetrySlack * repeatSlackFraction / float64(n.repeatNodes)
+	}
 	n.repeats.SetLimits(retry.RepeatLimits{
-		Window: s.RetryWindow, Ratio: s.RetryRatio * repeatBudgetFraction, Slack: s.RetrySlack * repeatBudgetFraction / nodes, MayHaveRunFraction: mayHaveRunFraction,
+		Window: s.RetryWindow, Ratio: s.RetryRatio * repeatBudgetFraction, Slack: slack, MayHaveRunFraction: mayHaveRunFraction,
 	})
 }
 
@@ -50,8 +57,13 @@
 	entry *entryRequest
 	// tried lists the destinations that the request was sent to.
 	tried []balance.ID
-	// repeats counts the repeated sends charged against the limits of the route and the service.
-	repeats    int
+	// repeats counts the repeated sends, after an earlier send that may have run, that were charged against the limits of
+	// the route and the service.
+	repeats int
+	// refusals counts the repeated sends after refusals by upstreams.
+	refusals int
+	// arrived means that a send has reached an upstream.
+	arrived    bool
 	reroutes   int
 	last       *call.Refusal
 	mayHaveRun bool
@@ -65,12 +77,20 @@
 
 // dispatch runs a request on an upstream of its service.
 func (n *Node) dispatch(ctx context.Context, e *entryRequest) (*call.Response, *call.Refusal) {
-	n.repeats.RecordRequest(e.req.Service, time.Now())
+	n.repeats.RecordRequest(e.req.Service, e.req.Repeated, time.Now())
 	d := &dispatcher{node: n, entry: e}
+	run := func(context.Context) (*call.Response, *call.Refusal) { return d.runOnce() }
 	if e.req.Idempotent && e.body.Buffered() {
-		return d.runRepeatable(ctx)
+		run = d.runRepeatable
+	}
+	response, refusal := run(ctx)
+	switch {
+	case refusal != nil && !d.arrived:
+		n.repeats.RetractRequest(e.req.Service, e.req.Repeated, time.Now())
+	case refusal == nil && e.parent != "":
+		n.running.Answered(e.fields.ID)
 	}
-	return d.runOnce()
+	return response, refusal
 }
 
 // runOnce runs a request that must not run twice. The request is resent only if it has certainly not run.
@@ -83,11 +103,12 @@
 			cancel()
 			return nil, d.noDestination()
 		}
-		response, refusal := d.attempt(ctx, choice)
+		response, refusal := d.attempt(ctx, choice, false, d.refusals > 0)
 		if refusal == nil {
 			response.Body = call.OnClose(response.Body, cancel)
 			return response, nil
 		}
+		d.record(refusal)
 		if !d.mayRepeat(refusal) {
 			cancel()
 			return nil, d.finalRefusal(refusal)
@@ -107,8 +128,9 @@
 			return false
 		}
 		running++
+		repeated, resent := d.repeats > 0, d.refusals > 0
 		go func() {
-			response, refusal := d.attempt(ctx, choice)
+			response, refusal := d.attempt(ctx, choice, repeated, resent)
 			results <- attemptResult{response, refusal}
 		}()
 		return true
@@ -145,7 +167,8 @@
 				}
 				continue
 			}
-			if d.mayRepeat(result.refusal) && running == 0 {
+			d.record(result.refusal)
+			if running == 0 && d.mayRepeat(result.refusal) {
 				launch()
 			}
 		}
@@ -205,10 +228,12 @@
 	return balance.Candidate{}, false // deadline exceeded, client disconnected, or node shutting down
 }
 
-// attempt sends the request to one destination and reports the result to the picker.
-func (d *dispatcher) attempt(ctx context.Context, choice balance.Candidate) (*call.Response, *call.Refusal) {
+// attempt sends the request to one destination and reports the result to the picker. repeated means that an earlier send
+// may have run, resent that an upstream has refused one.
+func (d *dispatcher) attempt(ctx context.Context, choice balance.Candidate, repeated, resent bool) (*call.Response, *call.Refusal) {
 	n := d.node
 	attempt := d.entry.body.Attach(d.entry.req)
+	attempt.Repeated, attempt.Resent = attempt.Repeated || repeated, resent
 	attempt.CallID = strconv.FormatUint(n.callSequence.Add(1), 36)
 	start := time.Now()
 	var response *call.Response
@@ -266,25 +291,47 @@
 	return balance.Failed
 }
 
-// mayRepeat records a refusal and reports whether the request may be sent to another destination.
-func (d *dispatcher) mayRepeat(refusal *call.Refusal) bool {
+// record records the refusal of an attempt.
+func (d *dispatcher) record(refusal *call.Refusal) {
 	d.last = refusal
+	d.mayHaveRun = d.mayHaveRun || refusal.Outcome == call.MayHaveRun
+	d.arrived = d.arrived || refusal.Outcome == call.MayHaveRun || refusal.Code == call.CodeUpstreamRefused
+}
+
+// mayRepeat reports whether the request may be sent to another destination after a refusal.
+func (d *dispatcher) mayRepeat(refusal *call.Refusal) bool {
 	if refusal.Code == call.CodeCanceled || refusal.Code == call.CodeIncompleteBody || !d.entry.body.Replayable() {
-		d.mayHaveRun = d.mayHaveRun || refusal.Outcome == call.MayHaveRun
 		return false
 	}
 	if refusal.Outcome == call.NotRun && refusal.Code != call.CodeUpstreamRefused {
 		d.reroutes++
 		return d.reroutes < maxReroutes && (refusal.Code != call.CodeOverloaded || !d.node.serviceSheds(d.entry.req))
 	}
-	d.mayHaveRun = d.mayHaveRun || refusal.Outcome == call.MayHaveRun
-	if refusal.Outcome == call.MayHaveRun && !d.entry.req.Idempotent {
+	if refusal.Outcome == call.NotRun {
+		if !d.refusedAgain() {
+			return false
+		}
+		d.node.metrics.repeats.Add("refusal", 1)
+		return true
+	}
+	if !d.entry.req.Idempotent || !d.repeatAllowed(true) {
+		return false
+	}
+	d.node.metrics.repeats.Add("failure", 1)
+	return true
+}
+
+// refusedAgain charges one repeated send after a refusal by an upstream that has not run the request. The attempts of the
+// route count runs, so only the budget and the time of the caller bound these.
+func (d *dispatcher) refusedAgain() bool {
+	if !time.Now().Before(d.node.giveUpAt(d.entry)) {
+		d.node.metrics.repeats.Add("denied_time", 1)
 		return false
 	}
-	if !d.repeatAllowed(refusal.Outcome == call.MayHaveRun) {
+	if !d.charge(false) {
 		return false
 	}
-	d.node.metrics.repeats.Add("refusal", 1)
+	d.refusals++
 	return true
 }
 
@@ -295,13 +342,39 @@
 	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
-	if d.repeats+1 >= attempts || !d.node.repeats.AllowRepeat(d.entry.req.Service, ran, time.Now()) {
+	if d.repeats+1 >= attempts {
+		return false
+	}
+	if ran && d.node.serviceSheds(d.entry.req) {
+		d.node.metrics.repeats.Add("denied_limit", 1) // a service that the request leads to would refuse its calls again
+		return false
+	}
+	if !d.charge(ran) {
 		return false
 	}
 	d.repeats++
 	return true
 }
 
+// charge charges one repeated send to the limit of the service and reports whether it allows it.
+func (d *dispatcher) charge(ran bool) bool {
+	n, req, now := d.node, d.entry.req, time.Now()
+	carryFrom := n.limits.CarryFrom(req.Service, now)
+	verdict := n.repeats.AllowRepeat(req.Service, retry.Repeat{
+		MayHaveRun: ran, Rank: req.Rank(), Answered: d.entry.answered,
+		EntryLimited: carryFrom < call.RankLimit, Carried: req.Rank().Advanced(req.Inner) < carryFrom,
+	}, now)
+	n.metrics.repeatVerdicts.Add(verdict.String()+"/"+req.Importance.String(), 1)
+	if verdict == retry.Granted {
+		return true
+	}
+	if event := n.log.event("repeat_denied"); event != nil {
+		event.Str("request_id", req.RequestID).Str("route", req.Route).Str("service", req.Service).Str("reason", verdict.String()).
+			Str("importance", req.Importance.String()).Uint16("rank", uint16(req.Rank())).Int("refusals", d.refusals).Msg("repeated send denied")
+	}
+	return false
+}
+
 // finalRefusal returns the refusal for the client, with the worst outcome of all attempts.
 func (d *dispatcher) finalRefusal(refusal *call.Refusal) *call.Refusal {
 	if d.mayHaveRun {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -38,6 +38,8 @@
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
+	// answered is the number of calls of the parent that were answered before this one.
+	answered int
 	// aborted means that the shutdown of this node aborted the request.
 	aborted bool
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -55,7 +55,9 @@
 	// refused counts calls refused by this node on behalf of its upstream, by refusal code.
 	refused *expvar.Map
 	repeats *expvar.Map
-	store   *expvar.Map
+	// repeatVerdicts counts the decisions about repeated sends by verdict and importance class.
+	repeatVerdicts *expvar.Map
+	store          *expvar.Map
 	// loans counts borrowed tokens and failed calls to lenders.
 	loans *expvar.Map
 	// registrationsRejected counts registrations of other nodes that were not used, by the violated rule.
@@ -70,12 +72,13 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
-		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), repeatVerdicts: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
 	m.vars.Set("repeats_total", m.repeats)
+	m.vars.Set("repeat_decisions_total", m.repeatVerdicts)
 	m.vars.Set("store_calls_total", m.store)
 	m.vars.Set("quota_loans_total", m.loans)
 	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
@@ -87,6 +90,15 @@
 		}
 		return limits
 	}))
+	m.vars.Set("service_carry_limits", expvar.Func(func() any {
+		limits := map[string]call.Rank{}
+		for _, l := range n.limits.All(time.Now()) {
+			if l.CarryFrom > 0 {
+				limits[l.Service] = l.CarryFrom
+			}
+		}
+		return limits
+	}))
 	m.vars.Set("request_latency", expvar.Func(m.requestLatency.summary))
 	m.vars.Set("upstream_latency", expvar.Func(m.upstreamLatency.summary))
 	m.vars.Set("queue_delay", expvar.Func(m.queueDelay.summary))
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -103,8 +103,10 @@
 	loans             *loans
 	picker            *balance.LatencyPicker
 	repeats           *retry.RepeatLimiter
+	repeatNodes       int // the largest number of nodes known; used by housekeeping only
 	limits            *backpressure.Limits
-	running           lineage.Tracker // requests on the upstream of this VM
+	carry             *backpressure.Carry // of the upstream of this VM
+	running           lineage.Tracker     // requests on the upstream of this VM
 	quarantine        *quarantine.List
 	upstreams         *upstream.DirectClient
 	forwarder         *peer.Forwarder
@@ -140,6 +142,7 @@
 		picker:     balance.NewLatencyPicker(latencyConfig(settings), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewRepeatLimiter(retry.RepeatLimits{}),
 		limits:     backpressure.New(),
+		carry:      backpressure.NewCarry(),
 		quarantine: newQuarantine(),
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
