--- a/retry/allocation.go
+++ b/retry/allocation.go
@@ -20,12 +20,13 @@
 	// PaceFraction is the fraction of the budget that the allocation spends evenly over a window. With what is spent
 	// before scarcity shows, the budget lasts for a window, and the most important calls find some left at its end.
 	PaceFraction = 0.85
-	// freeFraction is the fraction of the budget up to which repeats are granted without regard to rank. A short burst
-	// of refusals isn't scarcity.
+	// freeFraction is the fraction of the budget up to which repeats are granted without regard to rank, as a short burst
+	// of refusals isn't scarcity. Of a small budget, half is granted so, up to freeRepeats: a node that makes few calls
+	// cannot tell scarcity from chance.
 	freeFraction = 0.1
-	// freeRepeats is the number of repeats wanted lately, and that of all repeats allowed in a window, up to which rank
-	// does not matter: a node that makes few calls cannot tell scarcity from chance.
-	freeRepeats = 5.0
+	freeRepeats  = 10.0
+	// minRoom is the least number of repeats wanted lately that is granted.
+	minRoom = 5.0
 	// The time constant of the demand covers demandSample granted repeats, within these bounds. Before it has passed,
 	// more than the pace is granted.
 	demandSample    = 20.0
@@ -91,7 +92,15 @@
 	}
 	memory := min(demandSample/max(pace, 1), maxDemandMemory.Seconds())
 	d.memory = max(minDemandMemory, time.Duration(memory*float64(time.Second)))
-	return max(pace*d.memory.Seconds(), freeRepeats)
+	return max(pace*d.memory.Seconds(), minRoom)
+}
+
+// free returns the number of repeats in a window, of those allowed, that are granted without regard to rank.
+func free(allowed float64) float64 {
+	if allowed <= freeRepeats {
+		return allowed
+	}
+	return max(freeFraction*allowed, min(allowed/2, freeRepeats))
 }
 
 // allows reports whether one more repeat of a rank fits into the room that more important ranks leave.
--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -173,7 +173,7 @@
 	switch {
 	case repeats+1 > allowed:
 		return DeniedByBudget
-	case c.demand == nil || allowed <= freeRepeats || repeats+1 <= freeFraction*allowed || c.demand.allows(repeat, c.demand.room(repeat, allowed, repeats, l.limits.Window)):
+	case c.demand == nil || repeats+1 <= free(allowed) || c.demand.allows(repeat, c.demand.room(repeat, allowed, repeats, l.limits.Window)):
 		return Granted
 	}
 	return DeniedByRank
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -41,10 +41,13 @@
 // updateRepeatLimits sets this node's part of the operators' limit for repeated sends.
 func (n *Node) updateRepeatLimits() {
 	s := n.settings()
-	n.repeatNodes = max(n.repeatNodes, len(n.registry.others())+1)
-	slack := 0.0 // a part of all nodes is known at first
-	if n.registry.isComplete() {
-		slack = s.RetrySlack * repeatSlackFraction / float64(n.repeatNodes)
+	complete := n.registry.isComplete()
+	nodes := int64(len(n.registry.others()) + 1)
+	for most := n.repeatNodes.Load(); nodes > most && !n.repeatNodes.CompareAndSwap(most, nodes); most = n.repeatNodes.Load() {
+	}
+	slack := 0.0 // at first, not all nodes that share it are known
+	if complete {
+		slack = s.RetrySlack * repeatSlackFraction / float64(n.repeatNodes.Load())
 	}
 	n.repeats.SetLimits(retry.RepeatLimits{
 		Window: s.RetryWindow, Ratio: s.RetryRatio * repeatBudgetFraction, Slack: slack, MayHaveRunFraction: mayHaveRunFraction,
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -103,7 +103,7 @@
 	loans             *loans
 	picker            *balance.LatencyPicker
 	repeats           *retry.RepeatLimiter
-	repeatNodes       int // the largest number of nodes known; used by housekeeping only
+	repeatNodes       atomic.Int64 // the largest number of nodes known
 	limits            *backpressure.Limits
 	carry             *backpressure.Carry // of the upstream of this VM
 	running           lineage.Tracker     // requests on the upstream of this VM
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -415,6 +415,7 @@
 	}
 	r.node.log.event("membership").Int("others", others).Int64("revision", revision).Msg("all entries known since the own one was written")
 	r.applyMembership()
+	r.node.updateRepeatLimits()
 }
 
 // pause waits for d, or until this node's entry is written if it waits for that to know all others.
