--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -148,7 +148,7 @@
 	for running > 0 {
 		select {
 		case <-hedge.C:
-			if d.repeatAllowed(true) {
+			if d.repeatAllowed() {
 				d.node.metrics.repeats.Add("hedge", 1)
 				launch()
 			}
@@ -164,7 +164,7 @@
 			if result.refusal == nil {
 				d.discard(failed)
 				failed = result.response
-				if running == 0 && d.repeatAllowed(true) {
+				if running == 0 && d.repeatAllowed() {
 					d.node.metrics.repeats.Add("failure", 1)
 					launch()
 				}
@@ -204,9 +204,14 @@
 	return response.Status >= http.StatusInternalServerError
 }
 
-// hedgeDelay returns the time after which a hedged attempt is sent.
+// hedgeDelay returns the time after which a hedged attempt is sent. Where no latency is known yet, as in the first
+// moments of a fleet, every request would look late, so only those are hedged whose callers have half of their time left.
 func (d *dispatcher) hedgeDelay() time.Duration {
-	return max(hedgeFactor*d.node.expectedWork(d.entry), minHedgeDelay)
+	expected := d.node.expectedWork(d.entry)
+	if expected <= 0 {
+		return patience(time.Until(d.entry.req.Deadline), 0)
+	}
+	return max(hedgeFactor*expected, minHedgeDelay)
 }
 
 // choose picks a destination. If none is left, it retries all of them after a short delay until the request is given up.
@@ -317,7 +322,7 @@
 		d.node.metrics.repeats.Add("refusal", 1)
 		return true
 	}
-	if !d.entry.req.Idempotent || !d.repeatAllowed(true) {
+	if !d.entry.req.Idempotent || !d.repeatAllowed() {
 		return false
 	}
 	d.node.metrics.repeats.Add("failure", 1)
@@ -338,9 +343,9 @@
 	return true
 }
 
-// repeatAllowed charges one repeated send to the limits of the route and the service and reports whether
-// they allow it. ran means that an earlier send may have run.
-func (d *dispatcher) repeatAllowed(ran bool) bool {
+// repeatAllowed charges one repeated send, of a request that may have run, to the limits of the route and the service and
+// to the rate of the workspace, and reports whether they allow it.
+func (d *dispatcher) repeatAllowed() bool {
 	attempts := d.entry.route.MaxAttempts
 	if attempts <= 0 {
 		attempts = defaultAttempts
@@ -348,11 +353,15 @@
 	if d.repeats+1 >= attempts {
 		return false
 	}
-	if ran && d.node.serviceSheds(d.entry.req) {
+	if d.node.serviceSheds(d.entry.req) {
 		d.node.metrics.repeats.Add("denied_limit", 1) // a service that the request leads to would refuse its calls again
 		return false
 	}
-	if !d.charge(ran) {
+	if !d.charge(true) {
+		return false
+	}
+	if !d.node.shares.TakeRepeat(d.entry.req.Workspace, time.Now()) {
+		d.node.metrics.repeats.Add("above_rate", 1)
 		return false
 	}
 	d.repeats++
