--- a/lineage/lineage.go
+++ b/lineage/lineage.go
@@ -80,7 +80,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.parent(requestID); e != nil {
-		e.Run.Answered++
+		e.Answered++
 	}
 }
 
