--- a/lineage/lineage_test.go
+++ b/lineage/lineage_test.go
@@ -24,7 +24,13 @@
 			must.Eq(t, *want, run, must.Sprint(id))
 		}
 	}
-	endAgain := tracker.Start("r1", a)
+	tracker.Answered("r1.x")
+	run, _ := tracker.Parent("r1.y")
+	must.Eq(t, 1, run.Answered)
+	must.False(t, run.Repeated)
+	endAgain := tracker.Start("r1", Run{Route: "a", Repeated: true})
+	run, _ = tracker.Parent("r1.y")
+	must.True(t, run.Repeated, must.Sprint("calls of two runs can't be told apart"))
 	endA()
 	_, ok := tracker.Parent("r1.x")
 	must.True(t, ok, must.Sprint("another attempt still runs"))
--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -87,7 +87,9 @@
 	afterMayHaveRun [windowSlots + 1]float64
 	// entryLimitedAt is the slot of the last repeat with EntryLimited.
 	entryLimitedAt int64
-	demand         *demand
+	// demand holds all wanted repeats, except those of requests that may have run and are denied by their own bound.
+	// mayHaveRun holds those of requests that may have run.
+	demand, mayHaveRun *demand
 }
 
 // NewRepeatLimiter returns a limiter without any requests counted.
@@ -117,8 +119,10 @@
 		c.requests[c.slot%requestSlots]++
 	}
 	if c.demand != nil {
-		c.demand.decay(now)
-		c.demand.sends++
+		for _, d := range []*demand{c.demand, c.mayHaveRun} {
+			d.decay(now)
+			d.sends++
+		}
 	}
 }
 
@@ -150,14 +154,13 @@
 	}
 	l.updateDemand(c, now)
 	allowed := l.limits.Ratio*c.base() + l.limits.Slack
-	if repeat.MayHaveRun && sum(c.afterMayHaveRun[:])+1 > allowed*l.limits.MayHaveRunFraction {
-		return DeniedByBudget // no lower rank needs what it wants
-	}
-	verdict := l.decide(c, repeat, allowed)
-	if c.demand != nil {
-		c.demand.record(repeat.Rank, verdict == Granted)
+	if repeat.MayHaveRun {
+		verdict := l.decide(c.mayHaveRun, repeat, allowed*l.limits.MayHaveRunFraction, sum(c.afterMayHaveRun[:]))
+		if verdict != Granted {
+			return verdict // is no demand for the rest of the budget
+		}
 	}
-	if verdict != Granted {
+	if verdict := l.decide(c.demand, repeat, allowed, sum(c.repeats[:])); verdict != Granted {
 		return verdict
 	}
 	slot := c.slot % (windowSlots + 1)
@@ -168,21 +171,26 @@
 	return Granted
 }
 
-func (l *RepeatLimiter) decide(c *repeatCounts, repeat Repeat, allowed float64) Verdict {
-	repeats := sum(c.repeats[:])
+// decide decides by the demand, of which d is nil when unknown, and the repeats allowed and used in the window.
+func (l *RepeatLimiter) decide(d *demand, repeat Repeat, allowed, used float64) Verdict {
+	verdict := DeniedByRank
 	switch {
-	case repeats+1 > allowed:
-		return DeniedByBudget
-	case c.demand == nil || repeats+1 <= free(allowed) || c.demand.allows(repeat, c.demand.room(repeat, allowed, repeats, l.limits.Window)):
-		return Granted
+	case used+1 > allowed:
+		verdict = DeniedByBudget
+	case d == nil || used+1 <= free(allowed) || d.allows(repeat, d.room(repeat, allowed, used, l.limits.Window)):
+		verdict = Granted
+	}
+	if d != nil {
+		d.record(repeat.Rank, verdict == Granted)
 	}
-	return DeniedByRank
+	return verdict
 }
 
 // updateDemand ages the demand of a service. It is counted from the first wanted repeat.
 func (l *RepeatLimiter) updateDemand(c *repeatCounts, now time.Time) {
 	if c.demand != nil {
 		c.demand.decay(now)
+		c.mayHaveRun.decay(now)
 		return
 	}
 	demands := 0
@@ -193,6 +201,7 @@
 	}
 	if demands < maxDemands {
 		c.demand = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%requestSlots]}
+		c.mayHaveRun = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%requestSlots]}
 	}
 }
 
--- a/retry/repeat_limiter_test.go
+++ b/retry/repeat_limiter_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/call"
 )
 
 // In a chain of services each call makes one call to the next service, and all calls fail. Operators count
@@ -68,3 +70,28 @@
 	must.Eq(t, 0, count(false, now.Add(9*time.Second)), must.Sprint("still in the window"))
 	must.Eq(t, 2, count(false, now.Add(12*time.Second)), must.Sprint("only the slack is left"))
 }
+
+// Guards against unimportant calls that use up scarce repeats first, and against a base that shrinks with the requests that
+// entry nodes refuse because the budget is scarce.
+func TestRepeatLimiterByRank(t *testing.T) {
+	const perSecond, scarce, seconds = 200, 20, 30
+	limiter := NewRepeatLimiter(RepeatLimits{Window: 10 * time.Second, Ratio: 0.2, MayHaveRunFraction: 0.1})
+	granted := [2]int{}
+	for i := range seconds * perSecond {
+		now := time.Unix(1000, 0).Add(time.Duration(i) * time.Second / perSecond)
+		refused := i >= scarce*perSecond
+		if !refused || i%2 == 0 { // then half of the requests are refused where they enter
+			limiter.RecordRequest("s", false, now)
+		}
+		if refused {
+			important := i % 10 / 9 // a tenth of the calls, the last of each ten
+			if limiter.AllowRepeat("s", Repeat{Rank: call.Rank(900 - 800*important), EntryLimited: true}, now) == Granted {
+				granted[important]++
+			}
+		}
+	}
+	wanted := (seconds - scarce) * perSecond / 10
+	must.Eq(t, wanted, granted[1])
+	must.LessEq(t, perSecond*10/5, granted[0]+granted[1])
+	must.Greater(t, perSecond*10/5*2/3, granted[0]+granted[1], must.Sprint("a base that falls to a half allows two thirds at most"))
+}
