--- a/backpressure/refusal_test.go
+++ b/backpressure/refusal_test.go
@@ -463,6 +463,7 @@
 		{"K", routesK, 417*4 + 126*8 + 87, []string{"r1", "r2"}, 417*4 + 126*8},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			const refused, demand = 0.55, 1.6
 			before, now := playBoth(t, test.routes, func(s *fleetSim) { s.refusal, s.demand = ratio(refused), demand })
 			carried := repeatRatio * test.calls / (refused / (1 - refused)) / (test.needed * demand)
@@ -494,6 +495,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newFleetSim(1, false)
 			s.refusal = refusal
 			s.play(routesL)
