--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -39,6 +39,8 @@
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
+	// answered is the number of calls of the parent that were answered before this one.
+	answered int
 	// early means that the request was started before its turn on a connection with pipelined requests. mustWait means that
 	// it was not run then, as its route is not idempotent.
 	early, mustWait bool
