sidecar: split the registry by matter

Change: the watch of the store, this node's own entry and the members have a file each. Code is moved, not changed.

--- /dev/null
+++ b/sidecar/registry_members.go
@@ -0,0 +1,156 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/ratelimit"
+)
+
+// lapsedEntryGrace is how long a node is kept after its entry has lapsed without the node departing.
+// Leases may lapse while the store is unavailable, and entries are restored within about two seconds.
+const lapsedEntryGrace = 3 * time.Second
+
+// member is the known state of another node.
+type member struct {
+	Registration
+	// earlier is the departure that an earlier process of the node published. The current process may not know it.
+	earlier departure
+	// listed means that the store holds the node's entry.
+	listed bool
+	// unlistedSince is when the node's entry ended, or when the node was first seen without one.
+	unlistedSince time.Time
+	servingSince  time.Time
+}
+
+// update applies a registration received from the store (listed) or from the node itself.
+func (r *registry) update(reg Registration, listed bool) {
+	if reg.Node == "" || reg.Node == r.node.settings().Node {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	m := r.members[reg.Node]
+	if m == nil {
+		m = &member{unlistedSince: now}
+		r.members[reg.Node] = m
+		r.dirty = true
+	}
+	if listed {
+		m.listed = true
+	} else {
+		r.listed = true
+	}
+	if m.Node == "" || reg.newerThan(&m.Registration) {
+		if reg.Serving && (!m.Serving || m.Instance != reg.Instance) {
+			m.servingSince = now
+		}
+		m.keepDeparture(&reg)
+		m.Registration = reg
+		r.dirty = true
+	}
+	r.mu.Unlock()
+	r.applyMembership()
+}
+
+// keepDeparture keeps the departure that the node published before next, until next shows that the node knows it.
+func (m *member) keepDeparture(next *Registration) {
+	if d, departed := m.departure(); departed && next.Incarnation != m.Incarnation {
+		m.earlier = d
+	}
+	if _, departed := next.departure(); departed || next.Instance != "" && next.Instance != m.earlier.instance {
+		m.earlier = departure{}
+	}
+}
+
+// earlierDeparture returns the departure that a node may have acknowledged before it restarted, or a zero value.
+func (r *registry) earlierDeparture(node string) departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[node]; m != nil {
+		return m.earlier
+	}
+	return departure{}
+}
+
+// markUnlisted records that the store no longer holds the entry of a node. A node that announced its
+// shutdown is removed immediately.
+func (r *registry) markUnlisted(name string) {
+	r.mu.Lock()
+	if m := r.members[name]; m != nil {
+		m.listed = false
+		m.unlistedSince = time.Now()
+		if m.Stopping {
+			delete(r.members, name)
+		}
+		r.dirty = true
+	}
+	r.mu.Unlock()
+	r.applyMembership()
+}
+
+// expire removes nodes that have no entry and were not contacted recently. It removes none while the store
+// is unavailable.
+func (r *registry) expire(storeUnavailable bool) {
+	now := time.Now()
+	r.mu.Lock()
+	for name, m := range r.members {
+		if m.listed || storeUnavailable || now.Sub(m.unlistedSince) < lapsedEntryGrace {
+			continue
+		}
+		if r.node.gossip.contactedWithin(name, lapsedEntryGrace) {
+			continue
+		}
+		delete(r.members, name)
+		r.dirty = true
+	}
+	r.mu.Unlock()
+	r.applyMembership()
+}
+
+// applyMembership passes membership changes to the picker and the quota shares.
+func (r *registry) applyMembership() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	byService := map[string][]balance.Candidate{}
+	members := make([]ratelimit.Member, 0, len(r.members))
+	for name, m := range r.members {
+		members = append(members, ratelimit.Member{Name: name, FailureDomain: m.FailureDomain})
+		if m.Serving {
+			byService[m.Service] = append(byService[m.Service], newCandidate(&m.Registration, m.servingSince))
+		}
+	}
+	if r.self.Serving {
+		byService[r.self.Service] = append(byService[r.self.Service], newCandidate(&r.self, time.Time{}))
+	}
+	for service := range r.services {
+		if len(byService[service]) == 0 {
+			r.node.picker.SetCandidates(service, nil)
+			delete(r.services, service)
+		}
+	}
+	for service, candidates := range byService {
+		r.node.picker.SetCandidates(service, candidates)
+		r.services[service] = true
+	}
+	if r.listed {
+		r.node.shares.SetMembers(members, r.complete)
+	}
+}
+
+func newCandidate(r *Registration, since time.Time) balance.Candidate {
+	return balance.Candidate{
+		ID:            balance.ID{Node: r.Node, Incarnation: r.Incarnation},
+		Address:       r.PeerAddress,
+		FailureDomain: r.FailureDomain,
+		Region:        r.Region,
+		Slots:         r.Slots,
+		WarmUp:        time.Duration(r.WarmUpMS) * time.Millisecond,
+		FirstSeen:     since,
+		Stopping:      r.Stopping,
+	}
+}
