Evacuate failure domains

Cause: operators ask with op/evacuate/DOMAIN that nothing more be sent to the upstreams of a failure domain. The picker does not get the upstreams of evacuated failure domains, and the nodes there refuse calls as not run. A node waits for the first set before it sends anything. The last known set stays in effect.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -200,6 +200,16 @@
 	return dropped
 }
 
+// RefuseQueued refuses all queued items with the given reason and returns their number.
+func (g *Gate) RefuseQueued(reason Reason) int {
+	now := g.cfg.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refused := g.queue.DropMatching(now, reason, func(*Item) bool { return true })
+	g.wakeDecided()
+	return refused
+}
+
 // Sweep refuses overdue items. Call it periodically, because nothing else wakes waiters while no call
 // arrives or ends.
 func (g *Gate) Sweep() {
--- a/cmd/cowslip-sidecar/main.go
+++ b/cmd/cowslip-sidecar/main.go
@@ -97,11 +97,12 @@
 		n.RecordStoreCall(kind, status, elapsed, err)
 	})
 	n = sidecar.New(settings, sidecar.Dependencies{
-		Store:           store,
-		Configuration:   platform.Configuration{Store: store},
-		Headers:         platform.Headers{},
-		MountHeartbeats: func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
-		MountReady:      platform.MountReady,
+		Store:            store,
+		Configuration:    platform.Configuration{Store: store},
+		Headers:          platform.Headers{},
+		MountHeartbeats:  func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
+		MountReady:       platform.MountReady,
+		EvacuationPrefix: platform.EvacuationPrefix,
 	}, log, uint64(time.Now().UnixNano()))
 	if err := n.Start(); err != nil {
 		return err
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -84,6 +84,9 @@
 		}
 		return nil, n.refuseLocal(req, call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%s", reason), nil)
 	}
+	if refusal := n.evacuation.refuseLocal(); refusal != nil {
+		return nil, n.refuseLocal(req, refusal, nil)
+	}
 	queueCtx, cancel := context.WithTimeout(ctx, patience(req.Deadline.Sub(start), u.gate.ServiceTime(req.Route)))
 	release, err := u.gate.AcquireQueued(queueCtx, &admission.Item{
 		Workspace: req.Workspace, KeyHash: req.KeyHash, Route: req.Route, Importance: req.Importance, Deadline: req.Deadline,
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -158,6 +158,11 @@
 		refusal.RetryAfter = staleConfigRetryAfter
 		return refusal
 	}
+	if !n.evacuation.known() {
+		refusal := call.NewRefusal(call.CodeStaleConfiguration, call.NotRun, "evacuated failure domains are not known yet")
+		refusal.RetryAfter = staleConfigRetryAfter
+		return refusal
+	}
 	// An unknown route or key may be part of a configuration that this node has not read yet.
 	current := n.configuration.freshWithin(n.settings().ConfigApplyTime)
 	route := active.routes.match(r.Host, r.RequestURI)
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -28,6 +28,8 @@
 	store *kvstore.Memory
 	nodes []*fleetNode
 	logs  *logBuffer
+	// adjust, if not nil, changes the settings of each node.
+	adjust func(*sidecar.Settings)
 }
 
 // fleetNode is a node and its upstream.
@@ -82,7 +84,13 @@
 
 func startFleet(t *testing.T, count int, handler func(node int) http.HandlerFunc) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: kvstore.NewMemory(time.Now), logs: &logBuffer{}}
+	return startFleetWith(t, count, handler, nil)
+}
+
+// startFleetWith is like startFleet and changes the settings of each node.
+func startFleetWith(t *testing.T, count int, handler func(node int) http.HandlerFunc, adjust func(*sidecar.Settings)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: kvstore.NewMemory(time.Now), logs: &logBuffer{}, adjust: adjust}
 	f.configure(1, `"key-1"`, 1000)
 	for i := range count {
 		f.nodes = append(f.nodes, f.startNode(i, handler(i)))
@@ -122,12 +130,26 @@
 // configure writes a configuration with the given keys, as JSON strings, and rate.
 func (f *fleet) configure(version int, keys string, rate int) {
 	f.t.Helper()
-	entry, err := f.store.Get(f.t.Context(), "op/config")
+	f.put("op/config", fmt.Sprintf(configuration, version, keys, rate, rate))
+}
+
+// put writes a key of the operators to the store.
+func (f *fleet) put(key, value string) {
+	f.t.Helper()
+	entry, err := f.store.Get(f.t.Context(), key)
 	if err != nil {
 		must.ErrorIs(f.t, err, kvstore.ErrNotFound)
 	}
-	_, err = f.store.CompareAndSwap(f.t.Context(), "op/config", entry.Revision, fmt.Appendf(nil, configuration, version, keys, rate, rate), kvstore.NoLease)
+	_, err = f.store.CompareAndSwap(f.t.Context(), key, entry.Revision, []byte(value), kvstore.NoLease)
+	must.NoError(f.t, err)
+}
+
+// remove deletes a key from the store.
+func (f *fleet) remove(key string) {
+	f.t.Helper()
+	entry, err := f.store.Get(f.t.Context(), key)
 	must.NoError(f.t, err)
+	must.NoError(f.t, f.store.CompareAndDelete(f.t.Context(), key, entry.Revision))
 }
 
 func freeAddress(t *testing.T) string {
@@ -148,15 +170,25 @@
 		WithdrawalTime: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100,
 		QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
 	}
+	if f.adjust != nil {
+		f.adjust(s)
+	}
 	must.NoError(f.t, s.Check())
+	return &fleetNode{node: f.startProcess(s), settings: s, upstream: up}
+}
+
+// startProcess starts a process of a node.
+func (f *fleet) startProcess(s *sidecar.Settings) *sidecar.Node {
+	f.t.Helper()
 	n := sidecar.New(s, sidecar.Dependencies{
 		Store: f.store, Configuration: platform.Configuration{Store: f.store}, Headers: platform.Headers{},
-		MountHeartbeats: func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
-		MountReady:      platform.MountReady,
+		MountHeartbeats:  func(e *echo.Echo, h sidecar.HeartbeatHandler) { platform.MountHeartbeats(e, h) },
+		MountReady:       platform.MountReady,
+		EvacuationPrefix: platform.EvacuationPrefix,
 	}, zerolog.New(f.logs).With().Str("node", s.Node).Logger(), uint64(time.Now().UnixNano()))
 	must.NoError(f.t, n.Start())
 	f.t.Cleanup(n.Close)
-	return &fleetNode{node: n, settings: s, upstream: up}
+	return n
 }
 
 func (n *fleetNode) beat(sequence int64, draining bool) sidecar.Heartbeat {
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -279,6 +279,7 @@
 		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
 		state.ColdUs = n.local.pacer.Cold(time.Now()).Microseconds()
 	}
+	state.Evacuation = n.evacuation.encode()
 	encodeLimits(state, n.limits.All(time.Now()))
 	encodeShares(state, n.shares.PrepareMessage(peer, time.Now()))
 	marks, last := n.quarantine.Changes(after, maxGossipMarks)
@@ -363,6 +364,7 @@
 		n.adoptDeparture(departure{d.Instance, d.StartTimeMs}, "peer "+state.Node)
 	}
 	g.applyConfiguration(state, preparedAt)
+	n.evacuation.receive(state.Evacuation, preparedAt, state.Node)
 	now := time.Now()
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -64,6 +64,8 @@
 	upstreamCalls *expvar.Map
 	// paced counts held sends and health requests, coldSigns the signs that the upstream may have started again.
 	paced, coldSigns *expvar.Map
+	// evacuationRefused counts calls that were not sent to the upstream because its failure domain is evacuated.
+	evacuationRefused *expvar.Int
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -74,7 +76,8 @@
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
 		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
 		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
-		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
+		evacuationRefused: new(expvar.Int),
+		requestLatency:    newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
@@ -86,6 +89,17 @@
 	m.vars.Set("upstream_paced_total", m.paced)
 	m.vars.Set("upstream_cold_signs_total", m.coldSigns)
 	m.vars.Set("upstream_cold_seconds", expvar.Func(func() any { return n.local.pacer.Cold(time.Now()).Seconds() }))
+	m.vars.Set("evacuation_refusals_total", m.evacuationRefused)
+	m.vars.Set("evacuation", expvar.Func(func() any {
+		set, age := n.evacuation.encode(), time.Duration(-1)
+		if set == nil {
+			return nil
+		}
+		if known, ok := n.evacuation.age(); ok {
+			age = known
+		}
+		return map[string]any{"failure_domains": set.FailureDomains, "revision": set.Revision, "age_seconds": age.Seconds()}
+	}))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -68,6 +68,8 @@
 	// MountHeartbeats and MountReady register the platform's routes on a server.
 	MountHeartbeats func(*echo.Echo, HeartbeatHandler)
 	MountReady      func(*echo.Echo, func() bool)
+	// EvacuationPrefix is followed by the name of an evacuated failure domain in the keys of the store.
+	EvacuationPrefix string
 }
 
 // Node is the sidecar process of one VM.
@@ -96,6 +98,7 @@
 	refusingAll atomic.Bool // all requests are refused
 
 	configuration     *configuration
+	evacuation        *evacuation
 	registry          *registry
 	gossip            *gossip
 	local             *upstreamState
@@ -156,6 +159,7 @@
 	n.lateCtx, n.abortLate = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
+	n.evacuation = &evacuation{node: n}
 	n.registry = newRegistry(n)
 	n.gossip = newGossip(n)
 	n.loans = newLoans(n)
@@ -220,7 +224,7 @@
 	}
 	n.registry.publish()
 	for _, task := range []func(context.Context){
-		n.configuration.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration, n.local.watchHealth,
+		n.configuration.run, n.evacuation.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration, n.local.watchHealth,
 	} {
 		n.tasks.Go(func() { task(n.ctx) })
 	}
@@ -288,5 +292,5 @@
 
 // ready reports whether clients may use this node.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.configuration.current.Load() != nil
+	return !n.stopping.Load() && n.configuration.current.Load() != nil && n.evacuation.known()
 }
--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -123,11 +123,11 @@
 	members := make([]ratelimit.Member, 0, len(r.members))
 	for name, m := range r.members {
 		members = append(members, ratelimit.Member{Name: name, FailureDomain: m.FailureDomain})
-		if m.Serving {
+		if m.Serving && !r.node.evacuation.includes(m.FailureDomain) {
 			byService[m.Service] = append(byService[m.Service], r.candidate(&m.Registration, m.servingSince, m.coldUntil))
 		}
 	}
-	if r.self.Serving {
+	if r.self.Serving && !r.node.evacuation.includes(r.self.FailureDomain) {
 		byService[r.self.Service] = append(byService[r.self.Service], r.candidate(&r.self, time.Time{}, time.Now().Add(time.Duration(r.self.WarmUpMS)*time.Millisecond)))
 	}
 	for service := range r.services {
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -276,6 +276,9 @@
 	if s.current.Load() != nil || !ok || service.HealthPath == "" || service.WarmUpRate > 0 { // see watchHealth
 		return
 	}
+	if n.evacuation.refuseLocal() != nil {
+		return // the heartbeats tell soon enough
+	}
 	ctx, cancel := context.WithTimeout(ctx, healthProbeTimeout)
 	defer cancel()
 	status, header, err := n.upstreams.Probe(ctx, settings.UpstreamAddress, service.HealthPath)
--- a/sidecar/warmup.go
+++ b/sidecar/warmup.go
@@ -96,14 +96,15 @@
 	}
 }
 
-// awaitPace delays a call that has a slot until it may be sent. Most calls need not wait: their start was paced.
+// awaitPace delays a call that has a slot until it may be sent. Most calls need not wait: their start was paced. The failure
+// domain may have been evacuated since the call came.
 func (n *Node) awaitPace(ctx context.Context, deadline time.Time) *call.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := n.local.awaitSend(ctx); err != nil {
 		return call.NewRefusal(call.CodeOverloaded, call.NotRun, "upstream is cold: %v", err)
 	}
-	return nil
+	return n.evacuation.refuseLocal()
 }
 
 // service returns the operators' configuration of the upstream's service.
@@ -127,7 +128,7 @@
 	for ctx.Err() == nil {
 		s.publishCold()
 		path := s.service().HealthPath
-		if s.service().WarmUpRate <= 0 || path == "" {
+		if s.service().WarmUpRate <= 0 || path == "" || s.node.evacuation.includesSelf() || !s.node.evacuation.known() {
 			if conn != nil {
 				conn.Close()
 				conn = nil
