--- a/balance/latency_test.go
+++ b/balance/latency_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +158,38 @@
 	_, err = f.picker.Pick("s", LatencyQuery{Route: "a", TimeLeft: timeLeft}, f.now, f.random)
 	must.ErrorIs(t, err, ErrNoUpstream)
 }
+
+// Guards against more calls to a cold upstream than it sustains, against a cold one that is preferred to a warm one, and
+// against calls to unreachable upstreams while a cold one only has to be waited for.
+func TestLatencyPickerColdUpstreams(t *testing.T) {
+	f := newLatencyFixture()
+	cold := func(nodes ...int) {
+		var candidates []Candidate
+		for i := range 3 {
+			c := Candidate{ID: ID{Node: fmt.Sprintf("n%d", i), Incarnation: 1}, FailureDomain: "d0", Region: "r", Slots: 50, ColdRate: 13}
+			if slices.Contains(nodes, i) {
+				c.ColdUntil = f.now.Add(3 * time.Second)
+			}
+			candidates = append(candidates, c)
+		}
+		f.picker.SetCandidates("s", candidates)
+	}
+	cold(0, 1)
+	got := f.run(t, 200, 0, latencies(20, 20, 20))
+	must.Greater(t, 180, got["n2"], must.Sprint(got))
+	cold(0, 1)
+	f.picker.SetReachable("n2", false, f.now)
+	picked := 0
+	for range 100 { // in one second
+		f.now = f.now.Add(10 * time.Millisecond)
+		choice, err := f.picker.Pick("s", LatencyQuery{Route: "a", TimeLeft: timeLeft}, f.now, f.random)
+		if err == nil {
+			must.NotEq(t, "n2", choice.Node)
+			f.picker.Done("s", choice.ID, "a", LatencyResult{Latency: time.Millisecond}, f.now)
+			picked++
+		}
+	}
+	must.Between(t, 26, picked, 2*(13+coldBurst))
+	f.now = f.now.Add(3 * time.Second)
+	f.run(t, 200, 0, latencies(20, 20, 20)) // warm again
+}
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -24,6 +24,8 @@
 	evacuationWatchWait = 750 * time.Millisecond
 	// watchEndMargin is the time for the response of a watch that has ended.
 	watchEndMargin = 500 * time.Millisecond
+	// minEvacuationWatch is the shortest time between two watches of a reader, whose answer may come at once.
+	minEvacuationWatch = 250 * time.Millisecond
 	// evacuationAgeDivisor divides the operators' time for evacuations to give the age of the set at which a node that is
 	// not a reader reads it itself. What is left of the time covers a slow store and requests on their way.
 	evacuationAgeDivisor = 2.5
@@ -80,7 +82,9 @@
 }
 
 // enabled reports whether operators of this deployment evacuate failure domains.
-func (e *evacuation) enabled() bool { return e.node.settings().EvacuateTime > 0 }
+func (e *evacuation) enabled() bool {
+	return e.node.settings().EvacuateTime > 0 && e.node.dependencies.EvacuationPrefix != ""
+}
 
 // known reports whether the node knows what is evacuated, so that it may send to upstreams.
 func (e *evacuation) known() bool { return !e.enabled() || e.current.Load() != nil }
@@ -194,6 +198,7 @@
 			next.generation = latest
 			e.update(next, startedAt, "store")
 		}
+		clock.Sleep(ctx, max(0, minEvacuationWatch-clock.Boot().Sub(startedAt)))
 	}
 }
 
--- a/sidecar/evacuation_set_test.go
+++ b/sidecar/evacuation_set_test.go
@@ -17,7 +17,7 @@
 // knowledge that seems fresh because of a message without a date.
 func TestEvacuationFromPeers(t *testing.T) {
 	n := testNode("a", 1)
-	n.settings().EvacuateTime = 5 * time.Second
+	n.settings().EvacuateTime, n.dependencies.EvacuationPrefix = 5*time.Second, "p/"
 	e := n.evacuation
 	must.False(t, e.known())
 	must.NotNil(t, e.refuseLocal())
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -124,7 +124,7 @@
 		{"evacuation time", s.EvacuateTime.Seconds()}, {"withdrawal time", s.WithdrawalTime.Seconds()}, {"drain time", s.DrainTime.Seconds()},
 		{"lease minimum", s.LeaseMinimum.Seconds()}, {"memory", float64(s.MemoryBytes)}, {"link bandwidth", s.LinkBytesPerSecond},
 	} {
-		if f.value < 0 {
+		if !(f.value >= 0) { // not a number fails too
 			fail(f.field, f.value, "must not be negative")
 		}
 	}
--- a/sidecar/warmup.go
+++ b/sidecar/warmup.go
@@ -126,18 +126,19 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		s.publishCold()
 		path := s.service().HealthPath
 		if s.service().WarmUpRate <= 0 || path == "" || s.node.evacuation.includesSelf() || !s.node.evacuation.known() {
 			if conn != nil {
 				conn.Close()
 				conn = nil
 			}
+			s.publishCold()
 			s.pauseHealth(ctx, time.Now(), coldHealthInterval, nil)
 			continue
 		}
 		requestedAt := time.Now()
 		conn = s.requestHealth(ctx, conn, path)
+		s.publishCold() // not before: most signs turn out to be none
 		interval := warmHealthInterval
 		if s.pacer.Cold(time.Now()) > 0 && conn != nil {
 			interval = coldHealthInterval
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -320,6 +320,34 @@
 	must.Eq(t, 101, received.Load())
 }
 
+// Guards against a health connection whose end is noticed at the next request only, and against one that seems broken when
+// the upstream has announced the close.
+func TestHealthConnection(t *testing.T) {
+	address, _ := rawUpstream(t, func(connection, request int) string {
+		if connection == 2 {
+			return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		}
+		return map[int]string{1: reply("", "body"), 2: "close " + reply("", "")}[request]
+	})
+	h, err := newDirectClient().OpenHealth(t.Context(), address)
+	must.NoError(t, err)
+	for range 2 {
+		status, _, err := h.Probe(t.Context(), "/health")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, status)
+	}
+	<-h.Broken()
+	must.False(t, h.CloseAnnounced())
+	_, _, err = h.Probe(t.Context(), "/health")
+	must.ErrorIs(t, err, ErrConnectionLost)
+	h, err = newDirectClient().OpenHealth(t.Context(), address)
+	must.NoError(t, err)
+	defer h.Close()
+	_, _, err = h.Probe(t.Context(), "/health")
+	must.NoError(t, err)
+	must.True(t, h.CloseAnnounced())
+}
+
 // Guards against a probe of a silent upstream that delays the end of its node.
 func TestProbeEndsWithContext(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/warmup/pacer.go
+++ b/warmup/pacer.go
@@ -22,6 +22,7 @@
 package warmup
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -33,6 +34,8 @@
 	maxBurst = 4
 	// burstDivisor is the part of the bound above the rate that is used. The rest covers requests that arrive late.
 	burstDivisor = 3
+	// maxInterval bounds the time between two starts at rates near 0.
+	maxInterval = time.Hour
 	// maxWindow bounds the memory for counted requests to 24 KB.
 	maxWindow = 1024
 )
@@ -54,7 +57,7 @@
 
 // burst returns the number of calls that may start at once after a pause.
 func (c Config) burst() float64 {
-	return max(1, min(maxBurst, float64(int((c.bound()-c.Rate)/burstDivisor))))
+	return max(1, min(maxBurst, math.Floor((c.bound()-c.Rate)/burstDivisor)))
 }
 
 // perWindow returns the number of requests that are sent at most in any second.
@@ -217,7 +220,7 @@
 	if !p.isCold(now) {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / p.config.Rate)
+	return time.Duration(min(float64(time.Second)/p.config.Rate, float64(maxInterval)))
 }
 
 // MayStart implements admission.Pace: whether a call may start now.
--- a/warmup/replay_test.go
+++ b/warmup/replay_test.go
@@ -1,9 +1,9 @@
 package warmup_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,25 +36,13 @@
 	do func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // fleet replays a fleet without a network: requests enter at entry nodes, which choose an upstream and limit by rank; the
 // node beside each upstream queues and paces. An upstream that receives more than its bound while it is cold crashes.
 type fleet struct {
 	random    *rand.Rand
 	now       time.Time
 	begin     time.Time
-	events    events
+	events    []event // by time
 	paced     bool
 	entries   []*entry
 	upstreams []*simUpstream
@@ -82,7 +70,11 @@
 	waiting   map[*admission.Work]func(*call.Refusal)
 }
 
-func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
+func (f *fleet) after(d time.Duration, do func()) {
+	at := f.now.Add(d)
+	i, _ := slices.BinarySearchFunc(f.events, at, func(e event, at time.Time) int { return e.at.Compare(at) })
+	f.events = slices.Insert(f.events, i, event{at, do})
+}
 
 func newFleet(t *testing.T, seed uint64, paced bool) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), paced: paced}
@@ -321,7 +313,8 @@
 	}
 	f.after(0, next)
 	for end := f.begin.Add(simTime); ; {
-		e := heap.Pop(&f.events).(event)
+		e := f.events[0]
+		f.events = f.events[1:]
 		if !e.at.Before(end) {
 			return
 		}
