--- a/sidecar/warmup.go
+++ b/sidecar/warmup.go
@@ -38,7 +38,7 @@
 	config := warmup.Config{}
 	if service.WarmUpRate > 0 {
 		config = warmup.Config{
-			Rate: service.WarmUpRate, Duration: service.WarmUp, Over: settings.ColdOver, Slack: settings.ColdSlack,
+			Rate: service.WarmUpRate, Duration: min(service.WarmUp, maxWarmUp), Over: settings.ColdOver, Slack: settings.ColdSlack,
 			Silence: silentHeartbeats * settings.HeartbeatInterval,
 		}
 	}
