Refuse the calls held for an upstream that has ended

Cause: calls in the queue of a crashed or replaced upstream failed at once before; the pace held them until their callers lost patience. A sign of a restart that turns out to be none made the queue shed by rank for some milliseconds. Change: the calls held are refused as not run when the upstream has crashed or been replaced, in services with a pace only. For the first window of a pace no rank is shed.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -41,6 +41,8 @@
 type paceLevel struct {
 	// interval is the time between two starts, 0 while starts are not paced.
 	interval time.Duration
+	// beganAt is when the pace began. For a window after it no rank is shed: most signs of a restart turn out to be none.
+	beganAt time.Time
 	// arrived counts the calls by rank since windowStart, rates estimates their number per second.
 	arrived     [levelBuckets]int
 	rates       [levelBuckets]float64
@@ -111,15 +113,15 @@
 	began, ended := interval > 0 && q.pace.interval == 0, interval == 0 && q.pace.interval > 0
 	q.pace.interval = interval
 	if began {
-		q.pace.gain = 1
+		q.pace.gain, q.pace.beganAt = 1, now
 	}
 	switch {
 	case ended:
 		// The full rate is back at once: the limit was that of the pace, not of the upstream.
 		q.level = level{cfg: q.cfg.Level, shedFrom: call.RankLimit, windowStart: now, loadAt: now, lastCall: q.level.lastCall}
-	case q.pace.due(now) || began && q.pace.known:
+	case q.pace.due(now):
 		shedFrom := q.pace.adjust(now, q.queued, q.level.shedFrom, q.cfg.Level.Floor)
-		if interval > 0 && q.cfg.Level.Window > 0 {
+		if interval > 0 && q.cfg.Level.Window > 0 && now.Sub(q.pace.beganAt) >= paceWindow {
 			q.level.shedFrom = shedFrom
 		}
 	}
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -166,6 +166,9 @@
 		next.gate.SetSlots(beat.Slots)
 	} else {
 		next.gate = newGate(beat.Slots, s.pacer)
+		if old != nil {
+			s.refuseHeld(old)
+		}
 		next.tracker = quarantine.NewTracker(s.node.quarantine)
 	}
 	next.gate.SetDraining(next.leaving())
@@ -250,9 +253,18 @@
 	next := *current
 	next.crashed = true
 	s.current.Store(&next)
+	s.refuseHeld(current)
 	return true
 }
 
+// refuseHeld refuses the calls that the pace holds in the queue of an upstream that has ended, so that they are sent
+// elsewhere. Without a pace they start and fail at once.
+func (s *upstreamState) refuseHeld(u *localUpstream) {
+	if s.service().WarmUpRate > 0 {
+		u.gate.RefuseQueued(admission.Draining)
+	}
+}
+
 func newGate(slots int, pace admission.Pace) *admission.Gate {
 	cfg := admission.DefaultConfig(slots)
 	cfg.Pace = pace
