--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -278,7 +278,9 @@
 	if u := n.local.current.Load(); u != nil {
 		load := n.localLoad(u)
 		state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
+		state.ColdUs = n.local.pacer.Cold(time.Now()).Microseconds()
 	}
+	state.Evacuation = n.evacuation.encode()
 	encodeLimits(state, n.limits.All(time.Now()))
 	encodeShares(state, n.shares.PrepareMessage(peer, time.Now()))
 	marks, last := n.quarantine.Changes(after, maxGossipMarks)
@@ -363,6 +365,7 @@
 		n.adoptDeparture(departure{d.Instance, d.StartTimeMs}, "peer "+state.Node)
 	}
 	g.applyConfiguration(state, preparedAt)
+	n.evacuation.receive(state.Evacuation, preparedAt, state.Node)
 	now := time.Now()
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
@@ -370,6 +373,7 @@
 			n.limits.RecordCarry(service, state.Node, decodeRank(state.CarryFrom), now.Add(-age))
 		}
 		n.limits.Relay(decodeLimits(state), now.Add(-age))
+		n.registry.setCold(state.Node, now.Add(min(peer.DecodeAge(state.ColdUs), maxWarmUp)-age))
 	}
 	if current {
 		n.shares.Receive(state.Node, decodeShares(state, dated), now)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -66,6 +66,10 @@
 	upstreamSends *expvar.Map
 	// upstreamCalls counts calls on open routes by whether the running request that made them is known.
 	upstreamCalls *expvar.Map
+	// paced counts held sends and health requests, coldSigns the signs that the upstream may have started again.
+	paced, coldSigns *expvar.Map
+	// evacuationRefused counts calls that were not sent to the upstream because its failure domain is evacuated.
+	evacuationRefused *expvar.Int
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -77,6 +81,8 @@
 		repeats: new(expvar.Map).Init(), repeatVerdicts: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(),
 		registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), upstreamSends: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
+		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
+		evacuationRefused: new(expvar.Int),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
@@ -88,6 +94,20 @@
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
 	m.vars.Set("upstream_sends_total", m.upstreamSends)
 	m.vars.Set("pipelined_requests", expvar.Func(func() any { return n.pipeline.Stats() }))
+	m.vars.Set("upstream_paced_total", m.paced)
+	m.vars.Set("upstream_cold_signs_total", m.coldSigns)
+	m.vars.Set("upstream_cold_seconds", expvar.Func(func() any { return n.local.pacer.Cold(time.Now()).Seconds() }))
+	m.vars.Set("evacuation_refusals_total", m.evacuationRefused)
+	m.vars.Set("evacuation", expvar.Func(func() any {
+		set, age := n.evacuation.encode(), time.Duration(-1)
+		if set == nil {
+			return nil
+		}
+		if known, ok := n.evacuation.age(); ok {
+			age = known
+		}
+		return map[string]any{"failure_domains": set.FailureDomains, "revision": set.Revision, "age_seconds": age.Seconds()}
+	}))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -69,6 +69,8 @@
 	// MountHeartbeats and MountReady register the platform's routes on a server.
 	MountHeartbeats func(*echo.Echo, HeartbeatHandler)
 	MountReady      func(*echo.Echo, func() bool)
+	// EvacuationPrefix is followed by the name of an evacuated failure domain in the keys of the store.
+	EvacuationPrefix string
 }
 
 // Node is the sidecar process of one VM.
@@ -97,6 +99,7 @@
 	refusingAll atomic.Bool // all requests are refused
 
 	configuration     *configuration
+	evacuation        *evacuation
 	registry          *registry
 	gossip            *gossip
 	local             *upstreamState
@@ -151,6 +154,10 @@
 	n.currentSettings.Store(settings)
 	n.upstreams = upstream.NewDirectClient(func(response http.Header) string {
 		return n.headers.ReadResponse(response).RequestID
+	}, func(address string) {
+		if address == n.settings().UpstreamAddress {
+			n.local.doubt("idle_connection_closed")
+		}
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.runCtx, n.abortRunning = context.WithCancel(context.Background())
@@ -158,10 +165,11 @@
 	n.pipeline = newPipeline(n)
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
+	n.evacuation = &evacuation{node: n}
 	n.registry = newRegistry(n)
 	n.gossip = newGossip(n)
 	n.loans = newLoans(n)
-	n.local = &upstreamState{node: n}
+	n.local = newUpstreamState(n)
 	return n
 }
 
@@ -192,6 +200,7 @@
 	merged.StoreAddress = old.StoreAddress
 	n.currentSettings.Store(&merged)
 	n.log.event("reload").Str("service", merged.Service).Str("upstream", merged.UpstreamAddress).Msg("settings reloaded")
+	n.local.configurePacer(time.Now())
 	n.registry.publish()
 }
 
@@ -222,7 +231,7 @@
 	n.servers[0].listener = n.pipeline.Listener(n.servers[0].listener)
 	n.registry.publish()
 	for _, task := range []func(context.Context){
-		n.configuration.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration,
+		n.configuration.run, n.evacuation.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration, n.local.watchHealth,
 	} {
 		n.tasks.Go(func() { task(n.ctx) })
 	}
@@ -290,5 +299,5 @@
 
 // ready reports whether clients may use this node.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.configuration.current.Load() != nil
+	return !n.stopping.Load() && n.configuration.current.Load() != nil && n.evacuation.known()
 }
