crowdtest: tests of what misbehaving clients can hold

Cause: a crowd of clients that send incomplete bodies, many header fields or unread pipelines makes a node exceed its memory and its descriptors.

Change: tests that start a real process for each kind of crowd and listener and check that it stays alive, its peak memory and descriptors, and an ordinary request afterwards. soak.StartStore serves the simulated store to them. The crowds and bounds are fixed here, before any change of the node.

--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -48,6 +48,22 @@
 
 func (s *store) close() { _ = s.server.Close() }
 
+// StartStore starts a simulated store without faults for tests of a single node. It returns the store's address and a
+// function that stops it. entries are the initial values by key.
+func StartStore(ctx context.Context, entries map[string][]byte) (address string, stop func(), err error) {
+	s, err := newStore(0)
+	if err != nil {
+		return "", nil, err
+	}
+	for key, value := range entries {
+		if _, err := s.memory.CompareAndSwap(ctx, key, 0, value, kvstore.NoLease); err != nil {
+			s.close()
+			return "", nil, err
+		}
+	}
+	return s.listener.Addr().String(), s.close, nil
+}
+
 func (s *store) setResponseLoss(fraction float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
