intake: bounds on what clients can hold

Cause: headers with many short fields, incomplete bodies, unread responses and idle sockets of clients were bounded by nothing, and the operators' limits were not decoded.

Change: package intake decides, for each listener, how many connections, header bytes, body bytes, responses and incomplete uploads clients may hold, from memoryMb and maxFds. When a budget is used up, the client that makes the least progress loses its connection, and new ones wait for a short time. httpserver.Guard applies this to connections below net/http and refuses headers and bodies above the operators' limits with 431 and 413. The configuration's limits are decoded. Requests with calls in progress are bounded by descriptors.

--- a/call/refusal.go
+++ b/call/refusal.go
@@ -40,6 +40,7 @@
 	CodeRequestIDInvalid   Code = "request_id_invalid"
 	CodeRequestIDConflict  Code = "request_id_conflict"
 	CodeRequestIDLost      Code = "request_id_lost"
+	CodeHeaderTooLarge     Code = "header_too_large"
 	CodeBodyTooLarge       Code = "body_too_large"
 	CodeIncompleteBody     Code = "incomplete_body"
 	CodeRateExceeded       Code = "rate_exceeded"
@@ -69,6 +70,7 @@
 	CodeRequestIDInvalid:   http.StatusBadRequest,
 	CodeRequestIDConflict:  http.StatusUnprocessableEntity,
 	CodeRequestIDLost:      http.StatusGone,
+	CodeHeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	CodeBodyTooLarge:       http.StatusRequestEntityTooLarge,
 	CodeIncompleteBody:     http.StatusBadRequest,
 	CodeRateExceeded:       http.StatusTooManyRequests,
--- a/config/document.go
+++ b/config/document.go
@@ -95,6 +95,15 @@
 	return Rules{RetryRatio: 0.05, RetryLimit: 1, QuarantineCrashes: 2}
 }
 
+// ClientLimits are limits for clients. A value of 0 means that operators set none.
+type ClientLimits struct {
+	HeaderBytes int64 `json:"header_bytes"`
+	BodyBytes   int64 `json:"body_bytes"`
+	// HeaderTimeout is how long a client may take to send a header, IdleTimeout how long a connection may be unused.
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	IdleTimeout   time.Duration `json:"idle_timeout"`
+}
+
 // Document is the configuration at one revision. Its maps must not be modified.
 type Document struct {
 	Revision   int64                `json:"revision"`
@@ -108,6 +117,8 @@
 	Recent []RecentChange `json:"recent,omitempty"`
 	// Services is empty if operators define none.
 	Services map[string]Service `json:"services,omitempty"`
+	// ClientLimits bound what clients may send.
+	ClientLimits ClientLimits `json:"client_limits,omitzero"`
 	// Keyless means that no route needs a key.
 	Keyless bool `json:"keyless,omitempty"`
 }
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -45,7 +44,7 @@
 	if err != nil {
 		return // response recorders in tests have no connection
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 	_ = conn.Close()
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -18,6 +18,9 @@
 
 	mu    sync.Mutex
 	ended bool
+	after func()
+	// tooLarge means that the body is above the limit of its http.MaxBytesReader.
+	tooLarge bool
 }
 
 // NewBody returns the body of a request that w answers, without a deadline.
@@ -41,14 +44,40 @@
 	if errors.Is(err, io.EOF) {
 		b.end()
 	}
+	if limit := (*http.MaxBytesError)(nil); errors.As(err, &limit) {
+		b.mu.Lock()
+		b.tooLarge = true
+		b.mu.Unlock()
+	}
 	return n, err
 }
 
+// TooLarge reports whether the body was found to be above its limit.
+func (b *Body) TooLarge() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tooLarge
+}
+
+// AfterEnd sets a function that is called once the body has been read, at once if it has been.
+func (b *Body) AfterEnd(after func()) {
+	b.mu.Lock()
+	ended := b.ended
+	b.after = after
+	b.mu.Unlock()
+	if ended {
+		after()
+	}
+}
+
 func (b *Body) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.ended {
 		b.ended = true
 		_ = b.setReadDeadline(time.Time{}) // fails only if the connection is closed
+		if b.after != nil {
+			b.after()
+		}
 	}
 }
--- /dev/null
+++ b/internal/httpserver/guard.go
@@ -0,0 +1,563 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cowslipglade/cowslipglade/config"
+	"github.com/cowslipglade/cowslipglade/intake"
+)
+
+const (
+	// fieldCost is the memory of a parsed header field beside its bytes: entries of two maps, as the entry node copies the
+	// header, with the strings and slices in them. 3,000 fields in 30 KB took 300 KiB before the copy.
+	fieldCost = 250
+	// byteCost is how often the bytes of a header are in memory: once read, once in the map.
+	byteCost = 2
+	// freeHeaderBytes and freeBodyBytes of each request are not charged, because every connection accounts for them. With
+	// up to about 25 fields, requests are never refused for the headers of others.
+	freeHeaderBytes = 8 << 10
+	freeBodyBytes   = 4 << 10
+	// bufferedBodyBytes is the size up to which bodies are buffered (call.BufferLimit). Larger ones are streamed.
+	bufferedBodyBytes = 64 << 10
+	// streamBytes is the memory of a declared body that is streamed.
+	streamBytes = 32 << 10
+	// growthFactor bounds the size of a buffer that grows with a chunked body, by its bytes.
+	growthFactor = 2
+	// writePieceBytes is the size of the pieces in which a response is sent, so that progress within it is seen.
+	writePieceBytes = 16 << 10
+	// largeSocketBytes is the size of socket buffers that fit 200 Mbit/s with a round trip of 10 ms. It bounds what the kernel
+	// takes of a response that is not read, 4 MiB otherwise.
+	largeSocketBytes = 256 << 10
+	// smallReceiveBytes and smallSendBytes are the sizes of socket buffers while there are many connections. An upload gets a
+	// large one when it begins. The budget for responses bounds the number of connections whose send buffer is full.
+	smallReceiveBytes = 16 << 10
+	smallSendBytes    = 64 << 10
+	// headerSlackBytes is how much a header may exceed the operators' limit, as they may not count the request line.
+	headerSlackBytes = 1 << 10
+)
+
+const (
+	// acceptWait is how long a new connection waits for room before it is closed. It exceeds the time for which clients
+	// that make no progress keep theirs.
+	acceptWait = 500 * time.Millisecond
+	// chargeWait is how long a request waits for room for its header or body before it is refused.
+	chargeWait = time.Second
+	// roomPollInterval is the time between two attempts to get room. Thousands of connections may try.
+	roomPollInterval = 20 * time.Millisecond
+)
+
+// ErrNoRoom means that a connection was closed because the budgets of its listener were used up.
+var ErrNoRoom = errors.New("httpserver: no room for the request")
+
+// Refused is why a Guard refuses a request.
+type Refused int
+
+// Reasons of refusals.
+const (
+	HeaderTooLarge Refused = iota + 1
+	BodyTooLarge
+	// BodyNoRoom means that the budget for bodies was used up by requests that are running.
+	BodyNoRoom
+)
+
+// status returns the status of the refusal and its text.
+func (r Refused) status() (int, string) {
+	switch r {
+	case HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge, "request header is above the limit"
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge, "request body is above the limit"
+	}
+	return http.StatusServiceUnavailable, "too many request bodies are being read"
+}
+
+// GuardConfig configures a Guard.
+type GuardConfig struct {
+	Ledger *intake.Ledger
+	// Limits returns the limits in force.
+	Limits func() config.ClientLimits
+	// Local reports whether an address is of this VM; nil means never.
+	Local func(netip.Addr) bool
+	// Refuse writes the response to a request that is refused. If it is nil, the response has a line of text.
+	Refuse func(http.ResponseWriter, *http.Request, Refused)
+	// Closed is called after a connection was closed; nil is allowed.
+	Closed func(remote net.Addr, reason intake.Reason, turn intake.Turn)
+}
+
+// Guard applies the decisions of an intake.Ledger to the connections of a server. It is safe for concurrent use.
+//
+// Its connections may be wrapped by others whose NetConn method returns the wrapped one. Requests are counted by the bytes
+// that are read, in whatever pieces, so reading ahead of net/http is allowed.
+type Guard struct {
+	config GuardConfig
+}
+
+// NewGuard returns a guard. Attach it to a server before the server starts, and pass Serve what Listen returns.
+func NewGuard(config GuardConfig) *Guard { return &Guard{config: config} }
+
+// Attach sets the handler and the ConnContext hook of a server.
+func (g *Guard) Attach(s *http.Server) {
+	s.Handler = g.handler(s.Handler)
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn := unwrap(c); conn != nil {
+			return context.WithValue(ctx, connKey{}, conn)
+		}
+		return ctx
+	}
+}
+
+// Sweep closes the connections whose time is over. It should be called about once a second.
+func (g *Guard) Sweep(now time.Time) {
+	for client, reason := range g.config.Ledger.Overdue(g.config.Limits(), now) {
+		g.disconnect(client, reason)
+	}
+}
+
+func (g *Guard) disconnect(client *intake.Client, reason intake.Reason) {
+	client.Owner.(*guardedConn).disconnect(reason)
+}
+
+// Listen returns a listener whose connections are accounted for.
+func (g *Guard) Listen(listener net.Listener) net.Listener {
+	return &guardedListener{Listener: listener, guard: g, closed: make(chan struct{})}
+}
+
+type guardedListener struct {
+	net.Listener
+	guard     *Guard
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Close implements net.Listener.
+func (l *guardedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// open adds a connection to the ledger. Further connections wait in the backlog meanwhile.
+func (l *guardedListener) open(conn *guardedConn) (ok, unread bool) {
+	for start := time.Now(); ; {
+		victim, ok, unread := l.guard.config.Ledger.Open(conn.client, time.Now())
+		if victim != nil {
+			l.guard.disconnect(victim, intake.LeastProgress)
+		}
+		if ok || time.Since(start) >= acceptWait {
+			return ok, unread
+		}
+		select {
+		case <-l.closed:
+			return false, false
+		case <-time.After(roomPollInterval):
+		}
+	}
+}
+
+// Accept implements net.Listener. It closes connections for which there is no room within acceptWait.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &guardedConn{Conn: raw, guard: l.guard}
+		conn.client = intake.NewClient(conn, l.guard.local(raw.RemoteAddr()))
+		ok, unread := l.open(conn)
+		if !ok {
+			_ = raw.Close()
+			l.guard.closed(raw.RemoteAddr(), intake.NoRoom, intake.Sending)
+			continue
+		}
+		if tcp, ok := raw.(*net.TCPConn); ok {
+			conn.smallBuffers = unread
+			setBuffers(tcp, unread)
+		}
+		return conn, nil
+	}
+}
+
+// setBuffers bounds the socket buffers of a connection. Errors mean that it is closed.
+func setBuffers(tcp *net.TCPConn, small bool) {
+	if !small {
+		_ = tcp.SetWriteBuffer(largeSocketBytes)
+		return
+	}
+	_ = tcp.SetReadBuffer(smallReceiveBytes)
+	_ = tcp.SetWriteBuffer(smallSendBytes)
+}
+
+func (g *Guard) local(remote net.Addr) bool {
+	address, err := netip.ParseAddrPort(remote.String())
+	return err == nil && g.config.Local != nil && g.config.Local(address.Addr())
+}
+
+func (g *Guard) closed(remote net.Addr, reason intake.Reason, turn intake.Turn) {
+	if g.config.Closed != nil {
+		g.config.Closed(remote, reason, turn)
+	}
+}
+
+type connKey struct{}
+
+// unwrap returns the connection of a Guard within wrappers, or nil.
+func unwrap(c net.Conn) *guardedConn {
+	for {
+		switch conn := c.(type) {
+		case *guardedConn:
+			return conn
+		case interface{ NetConn() net.Conn }:
+			c = conn.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// receivedRequest is a request of which at least the header has arrived.
+type receivedRequest struct {
+	head     intake.Head
+	held     [2]int64 // by intake.HeaderBytes and intake.BodyBytes
+	received int64    // bytes of a chunked body
+	noRoom   bool
+	complete bool
+}
+
+// guardedConn accounts for what is read from and written to a connection. Only one goroutine at a time may read.
+type guardedConn struct {
+	net.Conn
+	guard  *Guard
+	client *intake.Client
+	// smallBuffers is set before the connection is used.
+	smallBuffers bool
+	framer       intake.Framer
+	// failed, completed and headerCost belong to the reading goroutine: the error that ends the connection, whether the
+	// bytes being accounted for end a header or body, and the cost of the header that is being read with what is charged.
+	failed                    error
+	completed                 bool
+	headerCost, headerCharged int64
+
+	mu sync.Mutex
+	// requests are those not yet answered, in order.
+	requests     []*receivedRequest
+	served       bool
+	reading      bool
+	readDeadline time.Time
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if c.failed != nil {
+		return 0, c.failed
+	}
+	ledger := c.guard.config.Ledger
+	c.mu.Lock()
+	c.reading = true
+	turn := c.turn()
+	ledger.BeginRead(c.client, turn, time.Now())
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	now := time.Now()
+	c.mu.Lock()
+	c.reading = false
+	c.mu.Unlock()
+	if n > 0 {
+		if c.framer.Between() {
+			ledger.HeaderStarted(c.client, now)
+		}
+		c.completed = false
+		ledger.EndRead(c.client, n, false, now)
+		c.framer.Feed(p[:n], c)
+		if c.failed != nil {
+			if errors.Is(c.failed, ErrNoRoom) {
+				c.disconnect(intake.NoRoom)
+			}
+			return 0, c.failed // the bytes are lost, so nothing more can be read
+		}
+	}
+	if n > 0 && c.completed {
+		ledger.EndRead(c.client, 0, true, now)
+	}
+	return n, err
+}
+
+// turn returns what a read waits for. The caller holds the lock.
+func (c *guardedConn) turn() intake.Turn {
+	switch {
+	case len(c.requests) == 0 && c.served && c.framer.Between():
+		return intake.Idle
+	case len(c.requests) == 0 || len(c.requests) == 1 && !c.requests[0].complete:
+		return intake.Sending
+	}
+	return intake.Running
+}
+
+// charge charges the client or reports that there is no room.
+func (c *guardedConn) charge(r intake.Resource, bytes int64) bool {
+	victims, ok := c.guard.config.Ledger.Charge(c.client, r, bytes, time.Now())
+	for _, victim := range victims {
+		c.guard.disconnect(victim, intake.LeastProgress)
+	}
+	return ok
+}
+
+// chargeWaiting is charge for the reading goroutine. It waits for room until chargeWait or the read deadline has passed.
+func (c *guardedConn) chargeWaiting(r intake.Resource, bytes int64) error {
+	start := time.Now()
+	for !c.charge(r, bytes) {
+		now := time.Now()
+		if c.readDeadlinePassed(now) {
+			return os.ErrDeadlineExceeded
+		}
+		if now.Sub(start) >= chargeWait {
+			return ErrNoRoom
+		}
+		time.Sleep(roomPollInterval)
+	}
+	return nil
+}
+
+// BeginUpload waits until the client of a request may hold a slot of an upstream while its body is incomplete, and returns the
+// function that ends that. It returns ErrNoRoom if others hold all, or the error of ctx, the context of the request.
+func BeginUpload(ctx context.Context) (end func(), err error) {
+	conn, _ := ctx.Value(connKey{}).(*guardedConn)
+	if conn == nil {
+		return func() {}, nil
+	}
+	for start := time.Now(); !conn.charge(intake.Uploads, 1); {
+		if time.Since(start) >= chargeWait {
+			return nil, ErrNoRoom
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(roomPollInterval):
+		}
+	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok && conn.smallBuffers {
+		_ = tcp.SetReadBuffer(largeSocketBytes) // fails only if the connection is closed
+	}
+	return sync.OnceFunc(func() { conn.guard.config.Ledger.Release(conn.client, intake.Uploads, 1) }), nil
+}
+
+func (c *guardedConn) readDeadlinePassed(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.readDeadline.IsZero() && !now.Before(c.readDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *guardedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *guardedConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// HeaderPart implements intake.Sink.
+func (c *guardedConn) HeaderPart(bytes, lines int) {
+	c.headerCost += byteCost*int64(bytes) + fieldCost*int64(lines)
+	if more := c.headerCost - freeHeaderBytes - c.headerCharged; more > 0 && c.failed == nil {
+		if c.failed = c.chargeWaiting(intake.HeaderBytes, more); c.failed != nil {
+			return
+		}
+		c.headerCharged += more
+	}
+}
+
+// HeaderEnd implements intake.Sink.
+func (c *guardedConn) HeaderEnd(head intake.Head) {
+	request := &receivedRequest{head: head}
+	request.held[intake.HeaderBytes] = c.headerCharged
+	c.headerCost, c.headerCharged, c.completed = 0, 0, true
+	c.guard.config.Ledger.HeaderEnded(c.client)
+	// A declared body is charged at once, as its buffer is allocated at once. One that is over the limit is not read.
+	body := head.Length
+	if body > bufferedBodyBytes {
+		body = streamBytes
+	}
+	if body -= freeBodyBytes; body > 0 && c.failed == nil {
+		request.noRoom = c.chargeWaiting(intake.BodyBytes, body) != nil
+		if !request.noRoom {
+			request.held[intake.BodyBytes] = body
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, request)
+}
+
+// BodyPart implements intake.Sink.
+func (c *guardedConn) BodyPart(bytes int) {
+	request := c.lastRequest()
+	if request == nil || request.head.Length >= 0 || c.failed != nil {
+		return
+	}
+	request.received += int64(bytes)
+	buffered := min(request.received, bufferedBodyBytes+freeBodyBytes)
+	if more := growthFactor*(buffered-freeBodyBytes) - request.held[intake.BodyBytes]; more > 0 {
+		if c.failed = c.chargeWaiting(intake.BodyBytes, more); c.failed != nil {
+			return
+		}
+		request.held[intake.BodyBytes] += more
+	}
+}
+
+// RequestEnd implements intake.Sink.
+func (c *guardedConn) RequestEnd() {
+	c.completed = true
+	if request := c.lastRequest(); request != nil {
+		c.mu.Lock()
+		request.complete = true
+		c.mu.Unlock()
+	}
+	c.headerCost = 0 // of trailers
+}
+
+// lastRequest returns the request whose body is being read, or nil if it has been answered.
+func (c *guardedConn) lastRequest() *receivedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.requests) == 0 {
+		return nil
+	}
+	return c.requests[len(c.requests)-1]
+}
+
+// firstRequest returns the request that is to be answered next, or nil.
+func (c *guardedConn) firstRequest() *receivedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.requests) == 0 {
+		return nil
+	}
+	return c.requests[0]
+}
+
+// answered releases what the first request holds. The connection stays open.
+func (c *guardedConn) answered() {
+	ledger := c.guard.config.Ledger
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served = true
+	if len(c.requests) == 0 {
+		return
+	}
+	for r, bytes := range c.requests[0].held {
+		if bytes > 0 {
+			ledger.Release(c.client, intake.Resource(r), bytes)
+		}
+	}
+	c.requests = c.requests[1:]
+	if c.reading && len(c.requests) == 0 {
+		ledger.BeginRead(c.client, intake.Idle, time.Now()) // another wrapper reads ahead
+	}
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (written int, err error) {
+	ledger := c.guard.config.Ledger
+	if len(p) > freeBodyBytes {
+		// The response in memory may be larger than the part that is being written. It is sent even if there is no room, as
+		// refusing it would not free anything.
+		bytes := growthFactor * int64(len(p))
+		if c.charge(intake.ResponseBytes, bytes) {
+			defer ledger.Release(c.client, intake.ResponseBytes, bytes)
+		}
+	}
+	for err == nil && written < len(p) {
+		ledger.BeginWrite(c.client, time.Now())
+		var n int
+		n, err = c.Conn.Write(p[written:min(len(p), written+writePieceBytes)])
+		ledger.EndWrite(c.client)
+		written += n
+	}
+	return written, err
+}
+
+// CloseWrite ends the direction to the client. net/http calls it and leaves the connection open for a while.
+func (c *guardedConn) CloseWrite() error {
+	c.guard.config.Ledger.EndDirection(c.client)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets the behavior of Close as that of net.TCPConn.
+func (c *guardedConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.guard.config.Ledger.Close(c.client)
+	return c.Conn.Close()
+}
+
+// disconnect closes the connection of a client. The server sees errors and ends its requests.
+func (c *guardedConn) disconnect(reason intake.Reason) {
+	c.guard.closed(c.RemoteAddr(), reason, c.guard.config.Ledger.Turn(c.client))
+	_ = c.Conn.Close() // may be closed already
+}
+
+// handler refuses requests that are over the limits, before they reach next.
+func (g *Guard) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(*guardedConn)
+		if conn == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		limits := g.config.Limits()
+		if request := conn.firstRequest(); request != nil {
+			if request.head.Uncertain {
+				w.Header().Set("Connection", "close")
+			}
+			if refused := request.refused(r, limits); refused != 0 {
+				w.Header().Set("Connection", "close")
+				g.refuse(w, r, refused)
+				return
+			}
+		}
+		if limits.BodyBytes > 0 && r.ContentLength != 0 {
+			r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (q *receivedRequest) refused(r *http.Request, limits config.ClientLimits) Refused {
+	switch {
+	case limits.HeaderBytes > 0 && int64(q.head.Bytes) > limits.HeaderBytes+headerSlackBytes:
+		return HeaderTooLarge
+	case limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes:
+		return BodyTooLarge
+	case q.noRoom:
+		return BodyNoRoom
+	}
+	return 0
+}
+
+func (g *Guard) refuse(w http.ResponseWriter, r *http.Request, refused Refused) {
+	if g.config.Refuse != nil {
+		g.config.Refuse(w, r, refused)
+		return
+	}
+	status, text := refused.status()
+	http.Error(w, text, status)
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -1,4 +1,5 @@
-// Package httpserver shuts HTTP servers down gracefully without waiting for connections that carried no request.
+// Package httpserver shuts HTTP servers down gracefully without waiting for connections that carried no request, and bounds
+// what their clients hold.
 package httpserver
 
 import (
@@ -42,6 +43,9 @@
 }
 
 func (s *Server) connState(connection net.Conn, state http.ConnState) {
+	if conn := unwrap(connection); conn != nil && state == http.StateIdle {
+		conn.answered()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -32,12 +32,16 @@
 	route  *config.Route
 	req    *call.Request
 	body   *call.ReplayBody
-	start  time.Time
+	// incoming is the body as it is read; nil before.
+	incoming *httpserver.Body
+	start    time.Time
 	// abort ends when the shutdown of this node aborts the request.
 	abort context.Context
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
+	// release ends the part of the request in which it has calls; nil before.
+	release func()
 	// aborted means that the shutdown of this node aborted the request.
 	aborted bool
 }
@@ -50,7 +54,15 @@
 	e := &entryRequest{fields: n.headers.TakeRequest(r.Header), start: start, abort: n.abortContext()}
 	ctx, cancel := withEnd(r.Context(), e.abort)
 	defer cancel()
+	defer func() {
+		if e.release != nil {
+			e.release()
+		}
+	}()
 	response, refusal := n.serve(ctx, w, r, e)
+	if refusal != nil && e.incoming != nil && e.incoming.TooLarge() {
+		refusal.Code, refusal.Message = call.CodeBodyTooLarge, "request body is above the limit"
+	}
 	e.aborted = n.abortedByStop(r.Context(), e.abort, refusal)
 	elapsed := time.Since(start)
 	n.metrics.recordRequest(refusal, elapsed)
@@ -116,6 +128,11 @@
 		return nil, n.bodyRefusal(e, err)
 	}
 	e.body = body
+	release, refusal := n.beginCalls(ctx, e)
+	if refusal != nil {
+		return nil, refusal
+	}
+	e.release = release
 	if !e.route.Open || e.req.Workspace != "" {
 		if refusal := n.acquireQuota(ctx, e); refusal != nil {
 			return nil, refusal
@@ -133,10 +150,11 @@
 // readBody reads the request body, buffering it in memory if it fits. Reading is bounded by the deadline and
 // by the abort time of a shutdown.
 func readBody(w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.ReplayBody, error) {
+	body := httpserver.NewBody(w, r)
+	e.incoming = body
 	if r.ContentLength == 0 {
 		return call.NewReplayBody(&call.Request{})
 	}
-	body := httpserver.NewBody(w, r)
 	if err := body.SetDeadline(e.req.Deadline); err != nil {
 		return nil, err
 	}
@@ -270,13 +288,17 @@
 // run.
 func refusalStatus(refusal *call.Refusal) int {
 	if refusal.Outcome == call.MayHaveRun {
-		if refusal.Code == call.CodeDeadline {
+		switch refusal.Code {
+		case call.CodeDeadline:
 			return http.StatusGatewayTimeout
+		case call.CodeBodyTooLarge:
+			return refusal.Status()
 		}
 		return http.StatusBadGateway
 	}
 	switch refusal.Code {
-	case call.CodeUnknownRoute, call.CodeMissingKey, call.CodeUnknownKey, call.CodeRateExceeded, call.CodeIncompleteBody, call.CodeBadRequest:
+	case call.CodeUnknownRoute, call.CodeMissingKey, call.CodeUnknownKey, call.CodeRateExceeded, call.CodeIncompleteBody, call.CodeBadRequest,
+		call.CodeHeaderTooLarge, call.CodeBodyTooLarge:
 		return refusal.Status()
 	}
 	return http.StatusServiceUnavailable
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -62,6 +62,8 @@
 	registrationsRejected *expvar.Map
 	// upstreamCalls counts calls on open routes by whether the running request that made them is known.
 	upstreamCalls *expvar.Map
+	// clientsClosed counts connections that were closed because of what their clients held, by listener and reason.
+	clientsClosed *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -70,7 +72,7 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
-		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), clientsClosed: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
@@ -80,6 +82,8 @@
 	m.vars.Set("quota_loans_total", m.loans)
 	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
+	m.vars.Set("clients_closed_total", m.clientsClosed)
+	m.vars.Set("clients", expvar.Func(func() any { return n.clientStatus() }))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -29,6 +29,7 @@
 
 	"github.com/cowslipglade/cowslipglade/backpressure"
 	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/intake"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/kvstore"
@@ -46,8 +47,6 @@
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout closes connections that send no request.
 	readHeaderTimeout = 10 * time.Second
-	// clientIdleTimeout exceeds the idle time that operators allow clients, 15 s by default.
-	clientIdleTimeout = 60 * time.Second
 	// housekeepingInterval is the time between two sweeps of idle connections and expired crash marks.
 	housekeepingInterval = time.Second
 	// sharesLogInterval is the time between two log lines with the quota shares.
@@ -113,6 +112,10 @@
 	entryInFlight     atomic.Int64 // requests in progress that entered at this node
 	forwardedInFlight atomic.Int64 // forwarded calls in progress
 
+	// calls counts the requests that have calls in progress, maxCalls bounds them.
+	calls    atomic.Int64
+	maxCalls int64
+
 	servers []*server
 	tasks   sync.WaitGroup
 	ctx     context.Context
@@ -124,10 +127,8 @@
 	*httpserver.Server
 	address  string
 	listener net.Listener
-}
-
-func newServer(name, address string, s *http.Server) *server {
-	return &server{Server: httpserver.New(name, s), address: address}
+	ledger   *intake.Ledger
+	guard    *httpserver.Guard
 }
 
 // New returns a node that is not listening yet. The incarnation must be higher than that of every earlier
@@ -144,6 +145,7 @@
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
 	n.currentSettings.Store(settings)
+	n.maxCalls = intake.Calls(settings.Descriptors)
 	n.upstreams = upstream.NewDirectClient(func(response http.Header) string {
 		return n.headers.ReadResponse(response).RequestID
 	})
@@ -193,11 +195,11 @@
 func (n *Node) Start() error {
 	s := n.settings()
 	n.servers = []*server{
-		newServer("requests", s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout}),
-		newServer("peers", s.PeerAddress, &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}),
-		newServer("control", s.ControlAddress, &http.Server{Handler: n.controlHandler()}),
-		newServer("heartbeats", s.HeartbeatAddress, &http.Server{Handler: n.heartbeatHandler()}),
-		newServer("ready", s.ReadyAddress, &http.Server{Handler: n.readyHandler()}),
+		n.newServer(intake.Requests, s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes}),
+		n.newServer(intake.Peers, s.PeerAddress, &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}),
+		n.newServer(intake.Control, s.ControlAddress, &http.Server{Handler: n.controlHandler(), MaxHeaderBytes: maxHeaderBytes}),
+		n.newServer(intake.Heartbeats, s.HeartbeatAddress, &http.Server{Handler: n.heartbeatHandler(), MaxHeaderBytes: maxHeaderBytes}),
+		n.newServer(intake.Ready, s.ReadyAddress, &http.Server{Handler: n.readyHandler(), MaxHeaderBytes: maxHeaderBytes}),
 	}
 	for _, server := range n.servers {
 		server.ReadHeaderTimeout = readHeaderTimeout
@@ -211,7 +213,7 @@
 			}
 			return fmt.Errorf("%w: %s: %w", ErrListen, server.Name, err)
 		}
-		server.listener = listener
+		server.listener = server.guard.Listen(listener)
 	}
 	n.registry.publish()
 	for _, task := range []func(context.Context){
@@ -244,6 +246,7 @@
 	for ctx.Err() == nil {
 		n.upstreams.Sweep()
 		n.forwarder.Sweep()
+		n.sweepClients(time.Now())
 		n.quarantine.Expire(time.Now())
 		n.updateRepeatLimits()
 		n.logUpstreamLimit()
