--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -84,6 +84,9 @@
 		}
 		return nil, n.refuseLocal(req, call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%s", reason), nil)
 	}
+	if refusal := n.evacuation.refuseLocal(); refusal != nil {
+		return nil, n.refuseLocal(req, refusal, nil)
+	}
 	queueCtx, cancel := context.WithTimeout(ctx, patience(req.Deadline.Sub(start), u.gate.ServiceTime(req.Route)))
 	release, err := u.gate.AcquireQueued(queueCtx, &admission.Item{
 		Workspace: req.Workspace, KeyHash: req.KeyHash, Route: req.Route, Importance: req.Importance, Deadline: req.Deadline,
@@ -112,6 +115,11 @@
 		release(admission.Ignored)
 		return nil, call.NewRefusal(call.CodeCanceled, call.NotRun, "sender gave up: %v", err)
 	}
+	if refusal := n.awaitPace(ctx, req.Deadline); refusal != nil {
+		u.tracker.End(ticket, false, time.Now())
+		release(admission.Ignored)
+		return nil, n.refuseLocal(req, refusal, u)
+	}
 	return n.runUpstream(ctx, u, req, func(result admission.Result) {
 		u.tracker.End(ticket, result == admission.Succeeded, time.Now())
 		release(result)
@@ -121,7 +129,7 @@
 // refuseLocal adds the load to a refusal, counts it and logs it.
 func (n *Node) refuseLocal(req *call.Request, refusal *call.Refusal, u *localUpstream) *call.Refusal {
 	if u != nil {
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load, refusal.Limits = &load, n.limits.Below(req.Route, req.Service, time.Now())
 	}
 	n.metrics.refused.Add(string(refusal.Code), 1)
@@ -160,7 +168,7 @@
 		RequestID: req.RequestID, Timeout: time.Until(req.Deadline), Instance: u.Instance, Workspace: req.Workspace, CallerService: req.CallerService,
 	})
 	start := time.Now()
-	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder})
+	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder, Repeated: req.Repeated})
 	releaseSlot := release
 	release = func(result admission.Result) {
 		end()
@@ -175,18 +183,20 @@
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
 		refusal := upstreamRefusal(err)
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load = &load
 		return nil, refusal
 	}
-	if refusal := n.checkResponse(u, req, response); refusal != nil {
+	refusal := n.checkResponse(u, req, response)
+	n.carry.Record(&req.Context, refusal != nil && refusal.Code == call.CodeUpstreamRefused, time.Now())
+	if refusal != nil {
 		_ = response.Body.Close()
 		release(admission.Failed)
-		load := u.gate.Load()
+		load := n.localLoad(u)
 		refusal.Load = &load
 		return nil, refusal
 	}
-	response.Load, response.Limits = u.gate.Load(), n.limits.Below(req.Route, req.Service, time.Now())
+	response.Load, response.Limits = n.localLoad(u), n.limits.Below(req.Route, req.Service, time.Now())
 	if response.Buffered {
 		release(admissionResult(response))
 	} else {
@@ -203,6 +213,7 @@
 		n.log.event("upstream").Str("request_id", req.RequestID).Str("expected", u.Instance).Str("found", fields.Instance).
 			Str("outcome", "replaced").Msg("address is used by another upstream")
 		n.local.markCrashed(u)
+		n.local.doubt("replaced")
 		return call.NewRefusal(call.CodeNoUpstream, call.NotRun, "another upstream has the address")
 	case fields.NotRun:
 		return call.NewRefusal(call.CodeUpstreamRefused, call.NotRun, "upstream refused with status %d", response.Status)
@@ -229,7 +240,11 @@
 // running.
 func (n *Node) handleUpstreamError(ctx context.Context, u *localUpstream, err error) {
 	unreachable := errors.Is(err, upstream.ErrNotConnected) && ctx.Err() == nil
+	if unreachable {
+		n.local.doubt("not_connected")
+	}
 	if errors.Is(err, upstream.ErrConnectionLost) {
+		n.local.doubt("connection_lost")
 		probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 		defer cancel()
 		unreachable = !n.upstreams.Accepts(probeCtx, u.Address)
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -276,8 +276,11 @@
 	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
-		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
+		load := n.localLoad(u)
+		state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
+		state.ColdUs = n.local.pacer.Cold(time.Now()).Microseconds()
 	}
+	state.Evacuation = n.evacuation.encode()
 	encodeLimits(state, n.limits.All(time.Now()))
 	encodeShares(state, n.shares.PrepareMessage(peer, time.Now()))
 	marks, last := n.quarantine.Changes(after, maxGossipMarks)
@@ -362,12 +365,15 @@
 		n.adoptDeparture(departure{d.Instance, d.StartTimeMs}, "peer "+state.Node)
 	}
 	g.applyConfiguration(state, preparedAt)
+	n.evacuation.receive(state.Evacuation, preparedAt, state.Node)
 	now := time.Now()
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
-			n.limits.RecordDestination(service, state.Node, call.Rank(min(state.ShedFrom, uint32(call.RankLimit))), now.Add(-age))
+			n.limits.RecordDestination(service, state.Node, decodeRank(state.ShedFrom), now.Add(-age))
+			n.limits.RecordCarry(service, state.Node, decodeRank(state.CarryFrom), now.Add(-age))
 		}
 		n.limits.Relay(decodeLimits(state), now.Add(-age))
+		n.registry.setCold(state.Node, now.Add(min(peer.DecodeAge(state.ColdUs), maxWarmUp)-age))
 	}
 	if current {
 		n.shares.Receive(state.Node, decodeShares(state, dated), now)
@@ -384,7 +390,9 @@
 // encodeLimits adds the limits of overloaded services to the state of an exchange.
 func encodeLimits(state *gossipv1.State, limits []call.ServiceLimit) {
 	for _, l := range limits {
-		state.Limits = append(state.Limits, &gossipv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), AgeUs: l.Age.Microseconds()})
+		state.Limits = append(state.Limits, &gossipv1.ServiceLimit{
+			Service: l.Service, ShedFrom: uint32(l.ShedFrom), CarryFrom: uint32(l.CarryFrom), AgeUs: l.Age.Microseconds(),
+		})
 	}
 }
 
@@ -393,12 +401,14 @@
 	limits := make([]call.ServiceLimit, 0, len(state.Limits))
 	for _, l := range state.Limits {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: call.Rank(min(l.ShedFrom, uint32(call.RankLimit))), Age: peer.DecodeAge(l.AgeUs),
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), CarryFrom: decodeRank(l.CarryFrom), Age: peer.DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
 }
 
+func decodeRank(rank uint32) call.Rank { return call.Rank(min(rank, uint32(call.RankLimit))) }
+
 // applyConfiguration applies a newer configuration from a peer, or the age of the peer's configuration if
 // the revision is the same. A peer that does not know this node yet sends only the revision.
 func (g *gossip) applyConfiguration(state *gossipv1.State, preparedAt time.Time) {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -55,7 +55,9 @@
 	// refused counts calls refused by this node on behalf of its upstream, by refusal code.
 	refused *expvar.Map
 	repeats *expvar.Map
-	store   *expvar.Map
+	// repeatVerdicts counts the decisions about repeated sends by verdict and importance class.
+	repeatVerdicts *expvar.Map
+	store          *expvar.Map
 	// loans counts borrowed tokens and failed calls to lenders.
 	loans *expvar.Map
 	// registrationsRejected counts registrations of other nodes that were not used, by the violated rule.
@@ -64,6 +66,12 @@
 	upstreamSends *expvar.Map
 	// upstreamCalls counts calls on open routes by whether the running request that made them is known.
 	upstreamCalls *expvar.Map
+	// paced counts held sends and health requests, coldSigns the signs that the upstream may have started again.
+	paced, coldSigns *expvar.Map
+	// evacuationRefused counts calls that were not sent to the upstream because its failure domain is evacuated.
+	evacuationRefused *expvar.Int
+	// clientsClosed counts connections that were closed because of what their clients held, by listener and reason.
+	clientsClosed *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -72,18 +80,38 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), refused: new(expvar.Map).Init(),
-		repeats: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(), registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), upstreamSends: new(expvar.Map).Init(),
+		repeats: new(expvar.Map).Init(), repeatVerdicts: new(expvar.Map).Init(), store: new(expvar.Map).Init(), loans: new(expvar.Map).Init(),
+		registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), upstreamSends: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
+		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
+		evacuationRefused: new(expvar.Int), clientsClosed: new(expvar.Map).Init(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
 	m.vars.Set("repeats_total", m.repeats)
+	m.vars.Set("repeat_decisions_total", m.repeatVerdicts)
 	m.vars.Set("store_calls_total", m.store)
 	m.vars.Set("quota_loans_total", m.loans)
 	m.vars.Set("registrations_rejected_total", m.registrationsRejected)
 	m.vars.Set("upstream_calls_total", m.upstreamCalls)
 	m.vars.Set("upstream_sends_total", m.upstreamSends)
 	m.vars.Set("pipelined_requests", expvar.Func(func() any { return n.pipeline.Stats() }))
+	m.vars.Set("upstream_paced_total", m.paced)
+	m.vars.Set("upstream_cold_signs_total", m.coldSigns)
+	m.vars.Set("upstream_cold_seconds", expvar.Func(func() any { return n.local.pacer.Cold(time.Now()).Seconds() }))
+	m.vars.Set("evacuation_refusals_total", m.evacuationRefused)
+	m.vars.Set("evacuation", expvar.Func(func() any {
+		set, age := n.evacuation.encode(), time.Duration(-1)
+		if set == nil {
+			return nil
+		}
+		if known, ok := n.evacuation.age(); ok {
+			age = known
+		}
+		return map[string]any{"failure_domains": set.FailureDomains, "revision": set.Revision, "age_seconds": age.Seconds()}
+	}))
+	m.vars.Set("clients_closed_total", m.clientsClosed)
+	m.vars.Set("clients", expvar.Func(func() any { return n.clientStatus() }))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
 		for _, l := range n.limits.All(time.Now()) {
@@ -91,6 +119,15 @@
 		}
 		return limits
 	}))
+	m.vars.Set("service_carry_limits", expvar.Func(func() any {
+		limits := map[string]call.Rank{}
+		for _, l := range n.limits.All(time.Now()) {
+			if l.CarryFrom > 0 {
+				limits[l.Service] = l.CarryFrom
+			}
+		}
+		return limits
+	}))
 	m.vars.Set("request_latency", expvar.Func(m.requestLatency.summary))
 	m.vars.Set("upstream_latency", expvar.Func(m.upstreamLatency.summary))
 	m.vars.Set("queue_delay", expvar.Func(m.queueDelay.summary))
