ratelimit: keep borrowed tokens that were not used in time

Cause: loans end after 0.2 s and parts of tokens are lent, so tokens were lost. Change: borrowed tokens that expire go to the node's own bucket, as far as that has room: the lender has given them and keeps no room for them any more.

--- a/ratelimit/loans.go
+++ b/ratelimit/loans.go
@@ -101,7 +101,7 @@
 	if b == nil || given <= 0 {
 		return
 	}
-	b.expireBorrowed(asked)
+	b.refill(asked)
 	b.borrowedTotal += given
 	b.borrowed.add(given, asked.Add(s.config.LoanLifetime), asked)
 }
--- a/ratelimit/share_tokens.go
+++ b/ratelimit/share_tokens.go
@@ -65,7 +65,6 @@
 
 // spend takes one token, from the borrowed tokens first.
 func (b *shareBucket) spend(now time.Time) bool {
-	b.expireBorrowed(now)
 	borrowed := b.borrowed.total(now)
 	if borrowed+b.tokens < 1 {
 		return false
@@ -75,12 +74,20 @@
 	return true
 }
 
-// expireBorrowed drops borrowed tokens that were not used in time.
-func (b *shareBucket) expireBorrowed(now time.Time) { b.expired += b.borrowed.expire(now) }
+// keepExpired moves borrowed tokens that were not used in time to this node's own, within the capacity of its bucket: the
+// lender has given them and keeps no room for them any more. Parts of tokens that do not add up to one in time would
+// otherwise be lost, with a rate of 30/s at 12 nodes a tenth of it.
+func (b *shareBucket) keepExpired(now time.Time) {
+	expired := b.borrowed.expire(now)
+	b.expired += expired
+	b.tokens += expired
+}
 
 // refill adds the tokens for the time since the last refill. The capacity is the share of the burst less the lent tokens
 // that have not expired.
 func (b *shareBucket) refill(now time.Time) {
+	b.keepExpired(now)
+	b.tokens = min(b.tokens, max(0, float64(b.quota.Burst)*b.share-b.lent.total(b.refilledAt)))
 	// Callers read the clock before they acquire the lock, so times may be out of order.
 	for b.refilledAt.Before(now) {
 		until := b.lent.nextExpiry(b.refilledAt, now)
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -312,7 +312,6 @@
 	status := make(map[string]ShareStatus, len(s.workspaces))
 	for name, b := range s.workspaces {
 		b.refill(now)
-		b.expireBorrowed(now)
 		status[name] = ShareStatus{
 			Share: b.share, Demand: b.demand, Tokens: b.tokens, Admitted: b.admitted, Refused: b.refused,
 			Repeats: b.repeats, RepeatsRefused: b.repeatsRefused, Lent: b.lentTotal, Borrowed: b.borrowedTotal, Expired: b.expired,
