Remove the entry limits for what the retry budget cannot carry

Cause: refusing such requests where they enter served fewer callers. Change: backpressure.Carry, its reports and its replay are gone; allocation of repeats by rank and sends beyond the route's attempts after refusals stay.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -46,26 +46,18 @@
 	below map[string][]string
 }
 
-// service holds what is known about a service. It is forgotten once none of its upstreams has a limit.
 type service struct {
-	// shed holds the ranks that upstreams shed, carry those that the retry budget cannot carry through their refusals.
-	shed, carry reports
-}
-
-// reports holds the reports of one kind about a service.
-type reports struct {
 	// destinations holds the last reports of the upstreams' nodes.
 	destinations map[string]report
 	// relayed is the newest limit of the service that another node has derived.
 	relayed report
-	// limitedAt is when an upstream last reported a limit.
+	// limitedAt is when an upstream last shed calls. The service is forgotten once that is long ago.
 	limitedAt time.Time
 }
 
-// report tells from which rank calls are refused.
 type report struct {
-	from call.Rank
-	at   time.Time
+	shedFrom call.Rank
+	at       time.Time
 }
 
 func (r report) fresh(now time.Time) bool { return !r.at.IsZero() && now.Sub(r.at) < lifetime }
@@ -77,60 +69,36 @@
 
 // RecordDestination records the limit that an upstream's node has reported; 0 means none.
 func (l *Limits) RecordDestination(name, node string, shedFrom call.Rank, now time.Time) {
-	l.record(name, node, shedFrom, now, func(s *service) *reports { return &s.shed })
-}
-
-// RecordCarry records the lowest rank that the retry budget cannot carry, as an upstream's node has reported it; 0 means
-// that it carries all.
-func (l *Limits) RecordCarry(name, node string, carryFrom call.Rank, now time.Time) {
-	l.record(name, node, carryFrom, now, func(s *service) *reports { return &s.carry })
-}
-
-func (l *Limits) record(name, node string, from call.Rank, now time.Time, kind func(*service) *reports) {
-	if from == 0 {
+	if shedFrom == 0 {
 		if !l.active.Load() {
 			return
 		}
-		from = call.RankLimit
+		shedFrom = call.RankLimit
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.services[name]
 	if s == nil {
-		if from == call.RankLimit || len(l.services) >= maxServices {
+		if shedFrom == call.RankLimit || len(l.services) >= maxServices {
 			return
 		}
 		s = l.add(name)
 	}
-	r := kind(s)
-	if from < call.RankLimit && now.After(r.limitedAt) {
-		r.limitedAt = now
+	if shedFrom < call.RankLimit {
+		s.limitedAt = now
 	}
-	if _, known := r.destinations[node]; known || len(r.destinations) < maxDestinations {
-		r.destinations[node] = report{from, now}
+	if _, known := s.destinations[node]; known || len(s.destinations) < maxDestinations {
+		s.destinations[node] = report{shedFrom, now}
 	}
 }
 
 func (l *Limits) add(name string) *service {
-	s := &service{shed: reports{destinations: map[string]report{}}, carry: reports{destinations: map[string]report{}}}
+	s := &service{destinations: map[string]report{}}
 	l.services[name] = s
 	l.active.Store(true)
 	return s
 }
 
-// relay records a limit that another node has derived.
-func (r *reports) relay(next report) {
-	if next.at.After(r.relayed.at) {
-		r.relayed = next
-	}
-	if next.from < call.RankLimit && next.at.After(r.limitedAt) {
-		r.limitedAt = next.at
-	}
-}
-
-// limited reports whether an upstream has reported a limit lately.
-func (r *reports) limited(now time.Time) bool { return now.Sub(r.limitedAt) < lifetime }
-
 // RecordCall records that requests of a route lead to a service.
 func (l *Limits) RecordCall(route, service string) {
 	l.mu.Lock()
@@ -168,114 +136,55 @@
 		if limit.Age < 0 || limit.Age >= lifetime {
 			continue // expired, or malformed and would never expire
 		}
-		at := now.Add(-limit.Age)
-		carried := limit.CarryFrom == 0 || limit.CarryFrom >= call.RankLimit
+		next := report{max(1, limit.ShedFrom), now.Add(-limit.Age)}
 		s := l.services[limit.Service]
 		if s == nil {
-			if limit.ShedFrom >= call.RankLimit && carried || len(l.services) >= maxServices {
+			if next.shedFrom >= call.RankLimit || len(l.services) >= maxServices {
 				continue
 			}
 			s = l.add(limit.Service)
 		}
-		s.shed.relay(report{max(1, limit.ShedFrom), at})
-		if limit.CarryFrom > 0 {
-			s.carry.relay(report{limit.CarryFrom, at})
+		if next.at.After(s.relayed.at) {
+			s.relayed = next
 		}
-	}
-}
-
-// fresh returns the reports of upstreams that have not expired, and the time of the newest.
-func (r *reports) fresh(now time.Time) (direct []report, newest time.Time) {
-	for node, d := range r.destinations {
-		if !d.fresh(now) {
-			delete(r.destinations, node)
-			continue
-		}
-		direct = append(direct, d)
-		if d.at.After(newest) {
-			newest = d.at
+		if next.shedFrom < call.RankLimit && next.at.After(s.limitedAt) {
+			s.limitedAt = next.at
 		}
 	}
-	return direct, newest
-}
-
-func mean(reports []report) call.Rank {
-	sum := 0
-	for _, r := range reports {
-		sum += int(r.from)
-	}
-	return call.Rank(sum / len(reports))
 }
 
 // limit derives the limit of a service from the fresh reports: their mean. The choice of upstreams moves calls away
 // from those that shed more than others, which raises their limits again. The time is that of the newest report.
 func (s *service) limit(now time.Time) (report, bool) {
-	fresh, newest := s.shed.fresh(now)
-	if s.shed.relayed.fresh(now) {
-		fresh = append(fresh, s.shed.relayed)
-		if s.shed.relayed.at.After(newest) {
-			newest = s.shed.relayed.at
+	var fresh []report
+	if s.relayed.fresh(now) {
+		fresh = append(fresh, s.relayed)
+	}
+	for node, r := range s.destinations {
+		if !r.fresh(now) {
+			delete(s.destinations, node)
+			continue
 		}
+		fresh = append(fresh, r)
 	}
 	if len(fresh) == 0 {
 		return report{}, false
 	}
-	return report{mean(fresh), newest}, true
-}
-
-// minCarryReports is the least number of upstreams whose reports make a limit: what one refuses, others may run.
-const minCarryReports = 2
-
-// carryLimit derives the rank from which the retry budget cannot carry calls. It is the mean of the fresh reports if most
-// of the upstreams have a limit. While fewer have, the choice of upstreams avoids these.
-func (s *service) carryLimit(now time.Time) (report, bool) {
-	direct, newest := s.carry.fresh(now)
-	relayed := s.carry.relayed.fresh(now)
-	if relayed && (len(direct) < minCarryReports || s.carry.relayed.at.After(newest)) {
-		return s.carry.relayed, true
-	}
-	if len(direct) < minCarryReports {
-		return report{}, false
-	}
-	limited := 0
-	for _, r := range direct {
-		if r.from < call.RankLimit {
-			limited++
+	sum, newest := 0, fresh[0].at
+	for _, r := range fresh {
+		sum += int(r.shedFrom)
+		if r.at.After(newest) {
+			newest = r.at
 		}
 	}
-	if 2*limited <= len(direct) {
-		return report{call.RankLimit, newest}, true
-	}
-	return report{mean(direct), newest}, true
-}
-
-// CarryFrom returns the lowest rank of calls of a service that the retry budget cannot carry, as far as this node knows. It
-// is RankLimit if it carries all.
-func (l *Limits) CarryFrom(name string, now time.Time) call.Rank {
-	if !l.active.Load() {
-		return call.RankLimit
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.services[name]
-	if s == nil {
-		return call.RankLimit
-	}
-	if r, ok := s.carryLimit(now); ok {
-		return r.from
-	}
-	return call.RankLimit
+	return report{call.Rank(sum / len(fresh)), newest}, true
 }
 
 // Strictest returns the lowest limit among a route's own service and those it leads to, and the service that has
-// it. ShedFrom is RankLimit if none has one. What the retry budget cannot carry counts only at the services that the
-// route leads to: a request that its own service refuses has cost no work.
+// it. ShedFrom is RankLimit if none has one.
 func (l *Limits) Strictest(route, own string, now time.Time) call.ServiceLimit {
 	strictest := call.ServiceLimit{Service: own, ShedFrom: call.RankLimit}
 	for _, limit := range l.Below(route, own, now) {
-		if limit.Service != own && limit.CarryFrom > 0 {
-			limit.ShedFrom = min(limit.ShedFrom, limit.CarryFrom)
-		}
 		if limit.ShedFrom < strictest.ShedFrom {
 			strictest = limit
 		}
@@ -320,22 +229,11 @@
 	if s == nil {
 		return limits
 	}
-	if !s.shed.limited(now) && !s.carry.limited(now) {
+	r, ok := s.limit(now)
+	if !ok || now.Sub(s.limitedAt) >= lifetime {
 		delete(l.services, name)
 		l.active.Store(len(l.services) > 0)
 		return limits
 	}
-	limit := call.ServiceLimit{Service: name, ShedFrom: call.RankLimit}
-	shed, shedKnown := s.limit(now)
-	if shedKnown {
-		limit.ShedFrom, limit.Age = shed.from, now.Sub(shed.at)
-	}
-	carry, carryKnown := s.carryLimit(now)
-	if carryKnown {
-		limit.CarryFrom, limit.Age = carry.from, max(limit.Age, now.Sub(carry.at))
-	}
-	if !shedKnown && !carryKnown {
-		return limits
-	}
-	return append(limits, limit)
+	return append(limits, call.ServiceLimit{Service: name, ShedFrom: r.shedFrom, Age: now.Sub(r.at)})
 }
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -76,21 +76,3 @@
 	must.SliceEmpty(t, l.All(start))
 	must.Eq(t, call.RankLimit, l.Strictest("r", "s", start).ShedFrom)
 }
-
-// Guards against a limit of all requests because one upstream refuses calls that others take, and against one for requests
-// that reach the refusing service without other work. Most of the upstreams that are heard of must have a limit.
-func TestCarryLimitNeedsMostUpstreams(t *testing.T) {
-	l := New()
-	l.RecordCall("r", "s")
-	l.RecordCarry("s", "n1", 100, start)
-	must.Eq(t, call.RankLimit, l.Strictest("r", "own", start).ShedFrom)
-	l.RecordCarry("s", "n2", 0, start)
-	must.Eq(t, call.RankLimit, l.Strictest("r", "own", start).ShedFrom)
-	l.RecordCarry("s", "n3", 200, start)
-	must.Eq(t, (100+200+call.RankLimit)/3, l.Strictest("r", "own", start).ShedFrom)
-	must.Eq(t, call.RankLimit, l.Strictest("r", "s", start).ShedFrom, must.Sprint("its own service"))
-	relayed := New()
-	relayed.RecordBelow("r", l.Below("r", "own", start), start)
-	must.Eq(t, l.CarryFrom("s", start), relayed.CarryFrom("s", start))
-	must.Eq(t, call.RankLimit, relayed.CarryFrom("s", at(lifetime)))
-}
--- a/call/call.go
+++ b/call/call.go
@@ -74,9 +74,6 @@
 	Service string
 	// ShedFrom is the lowest rank that is shed; RankLimit means that the service has recovered.
 	ShedFrom Rank
-	// CarryFrom is the lowest rank whose calls the retry budget cannot carry through the refusals of the upstreams
-	// themselves. RankLimit means that it carries all again, 0 that nothing is known.
-	CarryFrom Rank
 	// Age is the time since an upstream of the service reported the limit.
 	Age time.Duration
 }
@@ -101,9 +98,7 @@
 	Inner bool
 	// Repeated means that an earlier send of the request, or of the request that made it, may have run. The calls that
 	// the request makes are then repeats, too.
-	Repeated bool
-	// Resent means that an upstream has refused an earlier send of the call without running it.
-	Resent     bool
+	Repeated   bool
 	Idempotent bool
 	Deadline   time.Time
 	// RetryBudget is the number of extra attempts that this call and its downstream calls may use.
@@ -144,9 +139,6 @@
 	Draining bool
 	// ShedFrom is the lowest rank that the destination sheds; 0 means none.
 	ShedFrom Rank
-	// CarryFrom is the lowest rank whose calls the retry budget cannot carry through the refusals of the upstream
-	// itself; 0 means none.
-	CarryFrom Rank
 }
 
 // Response is an HTTP response, either buffered or with a streamed body whose Read returns an error on
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -91,7 +91,6 @@
 		ShedOrder:              uint32(c.ShedOrder),
 		Inner:                  c.Inner,
 		Repeated:               c.Repeated,
-		Resent:                 c.Resent,
 	}
 }
 
@@ -148,7 +147,6 @@
 				ShedOrder:     uint16(min(m.ShedOrder, uint32(call.RanksPerClass)-1)),
 				Inner:         m.Inner,
 				Repeated:      m.Repeated,
-				Resent:        m.Resent,
 			},
 			Method: m.Method,
 			Target: m.Target,
@@ -164,7 +162,6 @@
 		Admitted:     uint32(l.Admitted),
 		Draining:     l.Draining,
 		ShedFrom:     uint32(l.ShedFrom),
-		CarryFrom:    uint32(l.CarryFrom),
 	}
 }
 
@@ -176,7 +173,6 @@
 		Admitted:   call.Importance(min(m.GetAdmitted(), uint32(call.Sheddable))),
 		Draining:   m.GetDraining(),
 		ShedFrom:   decodeRank(m.GetShedFrom()),
-		CarryFrom:  decodeRank(m.GetCarryFrom()),
 	}
 }
 
@@ -196,7 +192,7 @@
 func encodeLimits(limits []call.ServiceLimit) []*callv1.ServiceLimit {
 	var encoded []*callv1.ServiceLimit
 	for _, l := range limits {
-		encoded = append(encoded, &callv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), CarryFrom: uint32(l.CarryFrom), AgeUs: l.Age.Microseconds()})
+		encoded = append(encoded, &callv1.ServiceLimit{Service: l.Service, ShedFrom: uint32(l.ShedFrom), AgeUs: l.Age.Microseconds()})
 	}
 	return encoded
 }
@@ -205,7 +201,7 @@
 	var limits []call.ServiceLimit
 	for _, l := range encoded {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), CarryFrom: decodeRank(l.CarryFrom), Age: DecodeAge(l.AgeUs),
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), Age: DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -15,7 +15,7 @@
 		Context: call.Context{
 			CallID: "c1", RequestID: "r1", Workspace: "garage", KeyHash: "h", Route: "stock", Service: "stock",
 			Importance: call.Sheddable, Idempotent: true, Deadline: time.Unix(1000, 0), RetryBudget: 2, Depth: 3,
-			Crashes: 1, Fingerprint: 42, Inner: true, Repeated: true, Resent: true,
+			Crashes: 1, Fingerprint: 42, Inner: true, Repeated: true,
 		},
 		Method: "PUT",
 		Target: "/stock/a?b=c",
@@ -59,13 +59,13 @@
 	refusal := call.NewRefusal(call.CodeOverloaded, call.NotRun, "queue is full")
 	refusal.RetryAfter = time.Second
 	refusal.UnspentBudget = 1
-	refusal.Load = &call.Load{InFlight: 3, Limit: 4, QueueDelay: time.Millisecond, Admitted: call.Normal, CarryFrom: 90}
+	refusal.Load = &call.Load{InFlight: 3, Limit: 4, QueueDelay: time.Millisecond, Admitted: call.Normal}
 	encoded, sign, err := encodeResponseMetadata(keyring, "c1", nil, refusal)
 	must.NoError(t, err)
 	m, err := decodeResponseMetadata(keyring, encoded, sign)
 	must.NoError(t, err)
 	must.Eq(t, refusal, decodeRefusal(m))
-	limits := []call.ServiceLimit{{Service: "s", ShedFrom: call.RankLimit, CarryFrom: 80, Age: time.Second}}
+	limits := []call.ServiceLimit{{Service: "s", ShedFrom: call.RankLimit, Age: time.Second}}
 	must.Eq(t, limits, decodeLimits(encodeLimits(limits)))
 }
 
--- a/retry/allocation.go
+++ b/retry/allocation.go
@@ -36,11 +36,6 @@
 	demandStep = 50 * time.Millisecond
 	// maxDeniedWeight bounds the repeats that a denied call is expected to have wanted after the denied one.
 	maxDeniedWeight = 10.0
-	// carriedRoom is the room for calls of requests that were let in because the budget carries them, as a multiple of
-	// the pace, while more than carriedLeft of the budget is left. The limit of these requests follows what the fleet
-	// has left. A request whose calls are made by several nodes fails if one of these has less room than others.
-	carriedRoom = 1.6
-	carriedLeft = 0.1
 	// lastPace bounds the pace to what is left in the window, as a multiple of it per window. It spreads the shortage at
 	// the end of a window over its time.
 	lastPace = 3.0
@@ -87,9 +82,6 @@
 // a window and used have been.
 func (d *demand) room(repeat Repeat, allowed, used float64, window time.Duration) float64 {
 	pace := Pace(allowed, used) / window.Seconds()
-	if repeat.EntryLimited && repeat.Carried && allowed-used > carriedLeft*allowed {
-		pace = carriedRoom * PaceFraction * allowed / window.Seconds()
-	}
 	memory := min(demandSample/max(pace, 1), maxDemandMemory.Seconds())
 	d.memory = max(minDemandMemory, time.Duration(memory*float64(time.Second)))
 	return max(pace*d.memory.Seconds(), minRoom)
--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -39,12 +39,6 @@
 	// Answered is the number of calls of the request that were answered. Of calls of equal rank, those of requests of
 	// which more is done precede.
 	Answered int
-	// EntryLimited means that nodes refuse requests that lead to the service. The requests of the current window are
-	// then fewer than those that were offered, and those of the window before are the base of the limit.
-	EntryLimited bool
-	// Carried means that the request is not one of these. All nodes agree about that, while each has its own count of
-	// what ranks want.
-	Carried bool
 }
 
 // Verdict is the decision about a repeated send.
@@ -67,11 +61,6 @@
 const (
 	// windowSlots is the number of slots of a window. Repeats in the slot that is expiring count in full.
 	windowSlots = 10
-	// requestSlots covers the current window and the one before.
-	requestSlots = 2 * windowSlots
-	// entryLimitedSlots is how long after EntryLimited the window before stays the base: until the current window holds
-	// half a window of requests again.
-	entryLimitedSlots = windowSlots / 2
 	// maxServices bounds the memory for counts, and maxDemands that for the demand by rank. Services without the latter
 	// have only the bound of the window.
 	maxServices = 1024
@@ -79,14 +68,12 @@
 )
 
 type repeatCounts struct {
-	slot, firstSlot int64
-	requests        [requestSlots]float64
+	slot     int64
+	requests [windowSlots]float64
 	// repeats counts the granted repeats and the sends of requests that are repeats already.
 	repeats [windowSlots + 1]float64
 	// afterMayHaveRun counts the granted repeats of requests that may have run.
 	afterMayHaveRun [windowSlots + 1]float64
-	// entryLimitedAt is the slot of the last repeat with EntryLimited.
-	entryLimitedAt int64
 	// demand holds all wanted repeats, except those of requests that may have run and are denied by their own bound.
 	// mayHaveRun holds those of requests that may have run.
 	demand, mayHaveRun *demand
@@ -116,7 +103,7 @@
 	if repeated {
 		c.repeats[c.slot%(windowSlots+1)]++
 	} else {
-		c.requests[c.slot%requestSlots]++
+		c.requests[c.slot%windowSlots]++
 	}
 	if c.demand != nil {
 		for _, d := range []*demand{c.demand, c.mayHaveRun} {
@@ -134,7 +121,7 @@
 	if c == nil {
 		return
 	}
-	count := &c.requests[c.slot%requestSlots]
+	count := &c.requests[c.slot%windowSlots]
 	if repeated {
 		count = &c.repeats[c.slot%(windowSlots+1)]
 	}
@@ -149,11 +136,8 @@
 	if c == nil {
 		return DeniedByBudget
 	}
-	if repeat.EntryLimited {
-		c.entryLimitedAt = c.slot
-	}
 	l.updateDemand(c, now)
-	allowed := l.limits.Ratio*c.base() + l.limits.Slack
+	allowed := l.limits.Ratio*sum(c.requests[:]) + l.limits.Slack
 	if repeat.MayHaveRun {
 		verdict := l.decide(c.mayHaveRun, repeat, allowed*l.limits.MayHaveRunFraction, sum(c.afterMayHaveRun[:]))
 		if verdict != Granted {
@@ -200,31 +184,11 @@
 		}
 	}
 	if demands < maxDemands {
-		c.demand = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%requestSlots]}
-		c.mayHaveRun = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%requestSlots]}
+		c.demand = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%windowSlots]}
+		c.mayHaveRun = &demand{updated: now, memory: minDemandMemory, sends: c.requests[c.slot%windowSlots]}
 	}
 }
 
-// base returns the number of requests to which the limit applies. All nodes use the same window at the same time, so that
-// the sum over all nodes is that of one window.
-func (c *repeatCounts) base() float64 {
-	before := 0.0
-	current := 0.0
-	for age := range int64(requestSlots) {
-		n := c.requests[(c.slot-age+requestSlots)%requestSlots]
-		if age < windowSlots {
-			current += n
-		} else {
-			before += n
-		}
-	}
-	limited := c.entryLimitedAt != 0 && c.slot-c.entryLimitedAt <= entryLimitedSlots
-	if limited && c.slot-c.firstSlot >= requestSlots {
-		return before
-	}
-	return current
-}
-
 func sum(counts []float64) float64 {
 	total := 0.0
 	for _, n := range counts {
@@ -245,15 +209,12 @@
 		if len(l.services) >= maxServices {
 			return nil
 		}
-		c = &repeatCounts{slot: slot, firstSlot: slot}
+		c = &repeatCounts{slot: slot}
 		l.services[service] = c
 	}
-	if slot-c.slot >= requestSlots {
-		c.firstSlot = slot // the earlier counts have left both windows
-	}
-	for skipped := 0; c.slot < slot && skipped <= requestSlots; skipped++ {
+	for skipped := 0; c.slot < slot && skipped <= windowSlots; skipped++ {
 		c.slot++
-		c.requests[c.slot%requestSlots] = 0
+		c.requests[c.slot%windowSlots] = 0
 		c.repeats[c.slot%(windowSlots+1)] = 0
 		c.afterMayHaveRun[c.slot%(windowSlots+1)] = 0
 	}
@@ -261,10 +222,10 @@
 	return c
 }
 
-// evict removes the services whose counts have left both windows.
+// evict removes the services whose counts have left the window.
 func (l *RepeatLimiter) evict(slot int64) {
 	for name, c := range l.services {
-		if slot-c.slot > requestSlots {
+		if slot-c.slot > windowSlots {
 			delete(l.services, name)
 		}
 	}
--- a/retry/repeat_limiter_test.go
+++ b/retry/repeat_limiter_test.go
@@ -85,7 +85,7 @@
 		}
 		if refused {
 			important := i % 10 / 9 // a tenth of the calls, the last of each ten
-			if limiter.AllowRepeat("s", Repeat{Rank: call.Rank(900 - 800*important), EntryLimited: true}, now) == Granted {
+			if limiter.AllowRepeat("s", Repeat{Rank: call.Rank(900 - 800*important)}, now) == Granted {
 				granted[important]++
 			}
 		}
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -129,7 +129,7 @@
 // refuseLocal adds the load to a refusal, counts it and logs it.
 func (n *Node) refuseLocal(req *call.Request, refusal *call.Refusal, u *localUpstream) *call.Refusal {
 	if u != nil {
-		load := n.localLoad(u)
+		load := u.gate.Load()
 		refusal.Load, refusal.Limits = &load, n.limits.Below(req.Route, req.Service, time.Now())
 	}
 	n.metrics.refused.Add(string(refusal.Code), 1)
@@ -183,20 +183,19 @@
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
 		refusal := upstreamRefusal(err)
-		load := n.localLoad(u)
+		load := u.gate.Load()
 		refusal.Load = &load
 		return nil, refusal
 	}
 	refusal := n.checkResponse(u, req, response)
-	n.carry.Record(&req.Context, refusal != nil && refusal.Code == call.CodeUpstreamRefused, time.Now())
 	if refusal != nil {
 		_ = response.Body.Close()
 		release(admission.Failed)
-		load := n.localLoad(u)
+		load := u.gate.Load()
 		refusal.Load = &load
 		return nil, refusal
 	}
-	response.Load, response.Limits = n.localLoad(u), n.limits.Below(req.Route, req.Service, time.Now())
+	response.Load, response.Limits = u.gate.Load(), n.limits.Below(req.Route, req.Service, time.Now())
 	if response.Buffered {
 		release(admissionResult(response))
 	} else {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -106,7 +106,7 @@
 			cancel()
 			return nil, d.noDestination()
 		}
-		response, refusal := d.attempt(ctx, choice, false, d.refusals > 0)
+		response, refusal := d.attempt(ctx, choice, false)
 		if refusal == nil {
 			response.Body = call.OnClose(response.Body, cancel)
 			return response, nil
@@ -131,9 +131,9 @@
 			return false
 		}
 		running++
-		repeated, resent := d.repeats > 0, d.refusals > 0
+		repeated := d.repeats > 0
 		go func() {
-			response, refusal := d.attempt(ctx, choice, repeated, resent)
+			response, refusal := d.attempt(ctx, choice, repeated)
 			results <- attemptResult{response, refusal}
 		}()
 		return true
@@ -237,11 +237,11 @@
 }
 
 // attempt sends the request to one destination and reports the result to the picker. repeated means that an earlier send
-// may have run, resent that an upstream has refused one.
-func (d *dispatcher) attempt(ctx context.Context, choice balance.Candidate, repeated, resent bool) (*call.Response, *call.Refusal) {
+// may have run.
+func (d *dispatcher) attempt(ctx context.Context, choice balance.Candidate, repeated bool) (*call.Response, *call.Refusal) {
 	n := d.node
 	attempt := d.entry.body.Attach(d.entry.req)
-	attempt.Repeated, attempt.Resent = attempt.Repeated || repeated, resent
+	attempt.Repeated = attempt.Repeated || repeated
 	attempt.CallID = strconv.FormatUint(n.callSequence.Add(1), 36)
 	start := time.Now()
 	var response *call.Response
@@ -371,10 +371,8 @@
 // charge charges one repeated send to the limit of the service and reports whether it allows it.
 func (d *dispatcher) charge(ran bool) bool {
 	n, req, now := d.node, d.entry.req, time.Now()
-	carryFrom := n.limits.CarryFrom(req.Service, now)
 	verdict := n.repeats.AllowRepeat(req.Service, retry.Repeat{
 		MayHaveRun: ran, Rank: req.Rank(), Answered: d.entry.answered,
-		EntryLimited: carryFrom < call.RankLimit, Carried: req.Rank().Advanced(req.Inner) < carryFrom,
 	}, now)
 	n.metrics.repeatVerdicts.Add(verdict.String()+"/"+req.Importance.String(), 1)
 	if verdict == retry.Granted {
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -276,8 +276,7 @@
 	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
-		load := n.localLoad(u)
-		state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
+		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
 		state.ColdUs = n.local.pacer.Cold(time.Now()).Microseconds()
 	}
 	state.Evacuation = n.evacuation.encode()
@@ -370,7 +369,6 @@
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
 			n.limits.RecordDestination(service, state.Node, decodeRank(state.ShedFrom), now.Add(-age))
-			n.limits.RecordCarry(service, state.Node, decodeRank(state.CarryFrom), now.Add(-age))
 		}
 		n.limits.Relay(decodeLimits(state), now.Add(-age))
 		n.registry.setCold(state.Node, now.Add(min(peer.DecodeAge(state.ColdUs), maxWarmUp)-age))
@@ -391,7 +389,7 @@
 func encodeLimits(state *gossipv1.State, limits []call.ServiceLimit) {
 	for _, l := range limits {
 		state.Limits = append(state.Limits, &gossipv1.ServiceLimit{
-			Service: l.Service, ShedFrom: uint32(l.ShedFrom), CarryFrom: uint32(l.CarryFrom), AgeUs: l.Age.Microseconds(),
+			Service: l.Service, ShedFrom: uint32(l.ShedFrom), AgeUs: l.Age.Microseconds(),
 		})
 	}
 }
@@ -401,7 +399,7 @@
 	limits := make([]call.ServiceLimit, 0, len(state.Limits))
 	for _, l := range state.Limits {
 		limits = append(limits, call.ServiceLimit{
-			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), CarryFrom: decodeRank(l.CarryFrom), Age: peer.DecodeAge(l.AgeUs),
+			Service: l.Service, ShedFrom: decodeRank(l.ShedFrom), Age: peer.DecodeAge(l.AgeUs),
 		})
 	}
 	return limits
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -119,15 +119,6 @@
 		}
 		return limits
 	}))
-	m.vars.Set("service_carry_limits", expvar.Func(func() any {
-		limits := map[string]call.Rank{}
-		for _, l := range n.limits.All(time.Now()) {
-			if l.CarryFrom > 0 {
-				limits[l.Service] = l.CarryFrom
-			}
-		}
-		return limits
-	}))
 	m.vars.Set("request_latency", expvar.Func(m.requestLatency.summary))
 	m.vars.Set("upstream_latency", expvar.Func(m.upstreamLatency.summary))
 	m.vars.Set("queue_delay", expvar.Func(m.queueDelay.summary))
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -108,8 +108,7 @@
 	repeats           *retry.RepeatLimiter
 	repeatNodes       atomic.Int64 // the largest number of nodes known
 	limits            *backpressure.Limits
-	carry             *backpressure.Carry // of the upstream of this VM
-	running           lineage.Tracker     // requests on the upstream of this VM
+	running           lineage.Tracker // requests on the upstream of this VM
 	quarantine        *quarantine.List
 	upstreams         *upstream.DirectClient
 	forwarder         *peer.Forwarder
@@ -148,7 +147,6 @@
 		picker:     balance.NewLatencyPicker(latencyConfig(settings), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewRepeatLimiter(retry.RepeatLimits{}),
 		limits:     backpressure.New(),
-		carry:      backpressure.NewCarry(),
 		quarantine: newQuarantine(),
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
--- a/sidecar/overload.go
+++ b/sidecar/overload.go
@@ -53,7 +53,6 @@
 func (n *Node) recordLimits(e *entryRequest, destination string, load *call.Load, limits []call.ServiceLimit, now time.Time) {
 	if load != nil {
 		n.limits.RecordDestination(e.req.Service, destination, load.ShedFrom, now)
-		n.limits.RecordCarry(e.req.Service, destination, load.CarryFrom, now)
 	}
 	n.limits.RecordBelow(e.req.Route, limits, now)
 	if e.parent != "" {
@@ -61,24 +60,13 @@
 	}
 }
 
-// localLoad returns the load of the upstream on this VM.
-func (n *Node) localLoad(u *localUpstream) call.Load {
-	load := u.gate.Load()
-	load.CarryFrom = n.carry.Limit(n.settings().RetryRatio*repeatBudgetFraction, time.Now())
-	return load
-}
-
 // logUpstreamLimit logs the limit of the upstream on this VM while it sheds calls.
 func (n *Node) logUpstreamLimit() {
 	u := n.local.current.Load()
 	if u == nil {
 		return
 	}
-	load := n.localLoad(u)
-	if load.CarryFrom > 0 {
-		n.log.event("upstream_refuses").Uint16("carry_from", uint16(load.CarryFrom)).Int("in_flight", load.InFlight).Int("limit", load.Limit).
-			Msg("upstream refuses more calls than the retry budget carries")
-	}
+	load := u.gate.Load()
 	if load.ShedFrom > 0 {
 		n.log.event("upstream_limit").Uint16("shed_from", uint16(load.ShedFrom)).Int("in_flight", load.InFlight).Int("limit", load.Limit).
 			Dur("queue_delay_ms", load.QueueDelay).Msg("upstream sheds calls by rank")
