call, peer, rpc: carry work left and pace with the load

Cause: only the node beside an upstream knows what waits and runs there. Values out of bounds decode as unknown; a message without the fields decodes as before.

--- a/call/call.go
+++ b/call/call.go
@@ -136,6 +136,17 @@
 	Draining bool
 	// ShedFrom is the lowest rank that the destination sheds; 0 means none.
 	ShedFrom Rank
+	// Waiting is the number of calls that wait for a slot. It and the fields below are 0 at nodes that do not report
+	// them; Pace tells these apart.
+	Waiting int
+	// WorkLeft is the time that one slot would need, at the usual pace, for all calls that wait and run.
+	WorkLeft time.Duration
+	// Pace is the present speed of the upstream as a fraction of its usual one, above 0.
+	Pace float64
+	// Waited and Ran are how long the call of the response waited for a slot and ran at the upstream.
+	Waited, Ran time.Duration
+	// Usual is how long calls of its class usually run at this upstream; 0 means unknown.
+	Usual time.Duration
 }
 
 // Response is an HTTP response, either buffered or with a streamed body whose Read returns an error on
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -160,6 +160,12 @@
 		Admitted:     uint32(l.Admitted),
 		Draining:     l.Draining,
 		ShedFrom:     uint32(l.ShedFrom),
+		Waiting:      uint32(l.Waiting),
+		WorkLeftUs:   l.WorkLeft.Microseconds(),
+		Pace:         float32(l.Pace),
+		WaitedUs:     l.Waited.Microseconds(),
+		RanUs:        l.Ran.Microseconds(),
+		UsualUs:      l.Usual.Microseconds(),
 	}
 }
 
@@ -171,9 +177,37 @@
 		Admitted:   call.Importance(min(m.GetAdmitted(), uint32(call.Sheddable))),
 		Draining:   m.GetDraining(),
 		ShedFrom:   decodeRank(m.GetShedFrom()),
+		Waiting:    int(m.GetWaiting()),
+		WorkLeft:   DecodeWork(m.GetWorkLeftUs()),
+		Pace:       DecodePace(m.GetPace()),
+		Waited:     min(DecodeWork(m.GetWaitedUs()), maxAge),
+		Ran:        min(DecodeWork(m.GetRanUs()), maxAge),
+		Usual:      min(DecodeWork(m.GetUsualUs()), maxAge),
 	}
 }
 
+// minPace and maxPace bound decoded paces.
+const minPace, maxPace = 0.01, 100
+
+// DecodePace returns a pace within its bounds, or 0 if it is not reported or not a number.
+func DecodePace(pace float32) float64 {
+	if !(pace > 0) { // also true of NaN
+		return 0
+	}
+	return min(max(float64(pace), minPace), maxPace)
+}
+
+// maxWork bounds decoded amounts of work. It is above that of all slots of an upstream for an hour.
+const maxWork = 1e6 * time.Hour
+
+// DecodeWork converts an amount of work in microseconds to a duration, or to 0 if it is out of bounds.
+func DecodeWork(us int64) time.Duration {
+	if us < 0 || us > maxWork.Microseconds() {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 func decodeRank(rank uint32) call.Rank { return call.Rank(min(rank, uint32(call.RankLimit))) }
 
 // maxAge bounds decoded ages.
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
+	callv1 "github.com/cowslipglade/cowslipglade/rpc/call/v1"
 )
 
 func testRequest() *call.Request {
@@ -59,7 +61,8 @@
 	refusal := call.NewRefusal(call.CodeOverloaded, call.NotRun, "queue is full")
 	refusal.RetryAfter = time.Second
 	refusal.UnspentBudget = 1
-	refusal.Load = &call.Load{InFlight: 3, Limit: 4, QueueDelay: time.Millisecond, Admitted: call.Normal}
+	refusal.Load = &call.Load{InFlight: 3, Limit: 4, QueueDelay: time.Millisecond, Admitted: call.Normal,
+		Waiting: 5, WorkLeft: 7 * time.Second, Pace: 0.5, Waited: 8 * time.Millisecond, Ran: 9 * time.Millisecond, Usual: 10 * time.Millisecond}
 	encoded, sign, err := encodeResponseMetadata(keyring, "c1", nil, refusal)
 	must.NoError(t, err)
 	m, err := decodeResponseMetadata(keyring, encoded, sign)
@@ -67,6 +70,16 @@
 	must.Eq(t, refusal, decodeRefusal(m))
 }
 
+// A load without the fields of work and pace, as older nodes send it, must decode as one that does not tell them, and values
+// out of bounds as unknown: they decide where calls go.
+func TestDecodeLoadBounds(t *testing.T) {
+	must.Eq(t, call.Load{InFlight: 3, Limit: 4}, decodeLoad(&callv1.Load{InFlight: 3, Limit: 4}))
+	for _, pace := range []float32{float32(math.NaN()), -1, 0} {
+		must.Eq(t, call.Load{}, decodeLoad(&callv1.Load{Pace: pace, WorkLeftUs: -1, WaitedUs: math.MinInt64, RanUs: -5, UsualUs: math.MaxInt64}))
+	}
+	must.Eq(t, maxPace, decodeLoad(&callv1.Load{Pace: float32(math.Inf(1))}).Pace)
+}
+
 // Guards against panics of the decoders on arbitrary input. The input is signed so that it passes the
 // signature check.
 func FuzzDecodeContext(f *testing.F) {
