balance: choose the upstream by expected completion

Cause: the picker sends calls by average latencies, which congestion and expensive calls distort, and all nodes return to the fastest upstream when their signals are older than 500 ms. Change: upstreams whose node reports its work are compared by the wait for a slot and the expected work at their speed. Without a recent report an upstream counts as loaded as the others, and the assumed load varies as much as reports do. Penalties and upstreams of nodes without reports are as before.

--- a/balance/latency.go
+++ b/balance/latency.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/workload"
 )
 
 // LatencyConfig configures a LatencyPicker.
@@ -48,6 +49,12 @@
 	SuspicionPenalty    time.Duration
 	// StoppingPenalty keeps calls away from a node that is shutting down while another upstream is available.
 	StoppingPenalty time.Duration
+	// SignalDecayTime is how fast the load of an upstream whose signal is older than SignalLifetime is expected to
+	// approach the mean load of the others. See decay.
+	SignalDecayTime time.Duration
+	// DriftFraction is the standard deviation of the present load around the last signal, as a fraction of the mean
+	// change between two signals.
+	DriftFraction float64
 }
 
 // DefaultLatencyConfig returns the configuration used by cowslip-sidecar.
@@ -69,12 +76,16 @@
 		DomainSuspicionTime:   time.Second,            // two rounds of the failure detector
 		SuspicionPenalty:      150 * time.Millisecond, // the cost of a failed connection
 		StoppingPenalty:       time.Second,            // above any cost difference between working upstreams
+		SignalDecayTime:       2 * time.Second,        // with 0.5 s, nodes return to an overloaded upstream together
+		DriftFraction:         0.5,                    // a call is sent halfway between two signals on average
 	}
 }
 
 // LatencyQuery describes the call for which an upstream is chosen.
 type LatencyQuery struct {
-	Route      string
+	Route string
+	// Class is what can be seen of the call. The zero value means the route only.
+	Class      workload.Class
 	Importance call.Importance
 	// Rank is the rank at which a destination sheds the call.
 	Rank call.Rank
@@ -95,12 +106,15 @@
 	// Bytes is the size of the response body.
 	Bytes int64
 	Load  *call.Load
+	// Class is that of the query.
+	Class workload.Class
 }
 
 // LatencyPicker chooses the upstream with the lowest expected latency for a call, for services whose
-// upstreams differ in speed. The expected latency is the moving average of the route's calls to the
-// upstream, raised by the load that the destination last reported, by the failure ratio and by the
-// distance.
+// upstreams differ in speed. The expected latency follows from the work that the call is expected to cost, and from
+// the speed of the upstream and the work left there as its node last reported them (see expected.go). For nodes that
+// do not report these it is the moving average of the route's calls to the upstream, raised by the load that the
+// destination last reported. The failure ratio and the distance are added.
 //
 // It is safe for concurrent use; each service has its own lock, held for one pass over its subset.
 type LatencyPicker struct {
@@ -120,6 +134,10 @@
 	upstreams []*latencyUpstream
 	// sizes is the moving average of response sizes by route, in bytes.
 	sizes map[string]float64
+	work  *workload.Model
+	// ways is the moving average of the time in seconds that calls to each tier spend outside the upstream and its queue.
+	ways  [tierCount]float64
+	picks PickCounts
 }
 
 type latencyUpstream struct {
@@ -139,6 +157,10 @@
 	signal         call.Load
 	signalAt       time.Time
 	signalInFlight int
+
+	speed workload.Speed
+	// drift is the moving average of the change of the load between two signals, as a fraction of the limit.
+	drift float64
 }
 
 type latencyAverage struct {
@@ -163,7 +185,7 @@
 	case len(candidates) == 0:
 		delete(p.services, name)
 	case s == nil:
-		s = &latencyService{sizes: map[string]float64{}}
+		s = &latencyService{sizes: map[string]float64{}, work: workload.NewModel()}
 		p.services[name] = s
 	}
 	p.mu.Unlock()
@@ -178,6 +200,7 @@
 		u := s.find(candidate.ID)
 		if u == nil {
 			u = &latencyUpstream{routes: map[string]*latencyAverage{}}
+			s.assumeSpeed(u)
 		}
 		u.Candidate = candidate
 		u.tier = tierOf(p.origin, &candidate)
@@ -222,6 +245,7 @@
 		return Candidate{}, ErrNoUpstream
 	}
 	best.inFlight++
+	s.countPick(best, query, now)
 	return best.Candidate, nil
 }
 
@@ -230,12 +254,19 @@
 	var bestCost float64
 	config := &p.config
 	baseline := s.lowestAverage(query.Route)
+	expected := s.expect(config, &query, now)
 	for _, u := range s.upstreams {
 		if u.isDraining(config, now) || slices.Contains(query.Exclude, u.ID) || now.Before(u.unreachableUntil) != unreachable {
 			continue
 		}
 		// The noise keeps nodes with the same information from making the same choice at the same time.
-		cost := u.cost(config, query, baseline, kib, now) * (1 + maxCostNoise*random.Float64())
+		var cost float64
+		if expected.covers(u) {
+			cost = expected.cost(u, kib, random)
+		} else {
+			cost = u.cost(config, query, baseline, kib, now)
+		}
+		cost *= 1 + maxCostNoise*random.Float64()
 		if u.Stopping {
 			cost += config.StoppingPenalty.Seconds()
 		}
@@ -301,9 +332,16 @@
 	cost := expected * u.loadFactor(config, now)
 	if now.Sub(u.signalAt) < config.SignalLifetime {
 		cost += u.signal.QueueDelay.Seconds()
-		if query.Importance > u.signal.Admitted || u.signal.ShedFrom > 0 && query.Rank >= u.signal.ShedFrom {
-			cost += config.ShedPenalty.Seconds()
-		}
+	}
+	return cost + u.penalties(config, &query, baseline, kib, now)
+}
+
+// penalties returns what is added to the expected latency for shedding, failures and the distance.
+func (u *latencyUpstream) penalties(config *LatencyConfig, query *LatencyQuery, baseline, kib float64, now time.Time) float64 {
+	cost := 0.0
+	if now.Sub(u.signalAt) < config.SignalLifetime &&
+		(query.Importance > u.signal.Admitted || u.signal.ShedFrom > 0 && query.Rank >= u.signal.ShedFrom) {
+		cost += config.ShedPenalty.Seconds()
 	}
 	cost += u.failures * decay(now.Sub(u.failuresAt), config.FailureDecayTime) * query.TimeLeft.Seconds()
 	remoteFraction := config.DomainPenaltyFraction
@@ -358,7 +396,9 @@
 		return
 	}
 	u.inFlight = max(0, u.inFlight-1)
+	s.learn(u, route, &result, now)
 	if result.Load != nil && (result.Load.Limit > 0 || result.Load.Draining) {
+		u.recordDrift(result.Load)
 		u.signal, u.signalAt, u.signalInFlight = *result.Load, now, u.inFlight
 	}
 	switch result.Outcome {
