sidecar: report work and pace, hedge by the distribution

Cause: the picker needs the reports of the nodes beside the upstreams, and a hedge at four times an average is within what expensive calls take; where nothing was known, it was sent after 60 ms. Change: the node meters its upstream and reports with each response, refusal and exchange. The hedge delay is the 0.99 quantile of the class on the chosen upstream, at least what it was, and half of the time left where nothing is known. Metrics work_estimates and upstream_work, log lines upstream_pace and spillover.

--- a/sidecar/departures_test.go
+++ b/sidecar/departures_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/kvstore"
+	"github.com/cowslipglade/cowslipglade/workload"
 )
 
 // departing returns a node and the heartbeat that its upstream sent before it departed.
@@ -21,7 +22,7 @@
 func probed(n *Node, instance string) {
 	n.local.current.Store(&localUpstream{
 		Heartbeat:     Heartbeat{Instance: instance, Service: "s", Address: n.settings().UpstreamAddress, Slots: 8},
-		lastHeartbeat: time.Now(), gate: newGate(8),
+		lastHeartbeat: time.Now(), gate: newGate(8), meter: workload.NewMeter(),
 	})
 }
 
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -84,6 +84,8 @@
 		}
 		return nil, n.refuseLocal(req, call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%s", reason), nil)
 	}
+	metered := &meteredCall{meter: u.meter, call: u.meter.Wait(workClass(req)), waitedSince: start}
+	defer metered.drop() // unless it has started
 	queueCtx, cancel := context.WithTimeout(ctx, patience(req.Deadline.Sub(start), u.gate.ServiceTime(req.Route)))
 	release, err := u.gate.AcquireQueued(queueCtx, &admission.Item{
 		Workspace: req.Workspace, KeyHash: req.KeyHash, Route: req.Route, Importance: req.Importance, Deadline: req.Deadline,
@@ -112,7 +114,7 @@
 		release(admission.Ignored)
 		return nil, call.NewRefusal(call.CodeCanceled, call.NotRun, "sender gave up: %v", err)
 	}
-	return n.runUpstream(ctx, u, req, func(result admission.Result) {
+	return n.runUpstream(ctx, u, req, metered, func(result admission.Result) {
 		u.tracker.End(ticket, result == admission.Succeeded, time.Now())
 		release(result)
 	})
@@ -121,7 +123,7 @@
 // refuseLocal adds the load to a refusal, counts it and logs it.
 func (n *Node) refuseLocal(req *call.Request, refusal *call.Refusal, u *localUpstream) *call.Refusal {
 	if u != nil {
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load, refusal.Limits = &load, n.limits.Below(req.Route, req.Service, time.Now())
 	}
 	n.metrics.refused.Add(string(refusal.Code), 1)
@@ -155,14 +157,16 @@
 }
 
 // runUpstream sends an admitted call. It calls release exactly once, when the upstream has finished.
-func (n *Node) runUpstream(ctx context.Context, u *localUpstream, req *call.Request, release func(admission.Result)) (*call.Response, error) {
+func (n *Node) runUpstream(ctx context.Context, u *localUpstream, req *call.Request, metered *meteredCall, release func(admission.Result)) (*call.Response, error) {
 	n.headers.PutUpstream(req.Header, UpstreamFields{
 		RequestID: req.RequestID, Timeout: time.Until(req.Deadline), Instance: u.Instance, Workspace: req.Workspace, CallerService: req.CallerService,
 	})
 	start := time.Now()
 	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder})
+	metered.start(start)
 	releaseSlot := release
 	release = func(result admission.Result) {
+		metered.end(result == admission.Succeeded, time.Now())
 		end()
 		releaseSlot(result)
 	}
@@ -172,18 +176,22 @@
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
 		refusal := upstreamRefusal(err)
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load = &load
 		return nil, refusal
 	}
 	if refusal := n.checkResponse(u, req, response); refusal != nil {
 		_ = response.Body.Close()
 		release(admission.Failed)
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load = &load
 		return nil, refusal
 	}
-	response.Load, response.Limits = u.gate.Load(), n.limits.Below(req.Route, req.Service, time.Now())
+	if response.Buffered {
+		metered.end(admissionResult(response) == admission.Succeeded, time.Now())
+	}
+	response.Load, response.Limits = u.load(time.Now()), n.limits.Below(req.Route, req.Service, time.Now())
+	response.Load.Waited, response.Load.Ran, response.Load.Usual = metered.waited, metered.ran, metered.usual
 	if response.Buffered {
 		release(admissionResult(response))
 	} else {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -21,7 +21,7 @@
 	rerouteDelay = 25 * time.Millisecond
 	// defaultAttempts applies to routes that set no number of attempts.
 	defaultAttempts = 2
-	// hedgeFactor is multiplied by the expected latency to give the delay before a hedged attempt.
+	// hedgeFactor is multiplied by the expected latency to give the least delay before a hedged attempt.
 	hedgeFactor = 4
 	// minHedgeDelay prevents hedging within the normal latency variance of short calls.
 	minHedgeDelay = 60 * time.Millisecond
@@ -178,20 +178,12 @@
 	return response.Status >= http.StatusInternalServerError
 }
 
-// hedgeDelay returns the time after which a hedged attempt is sent.
-func (d *dispatcher) hedgeDelay() time.Duration {
-	return max(hedgeFactor*d.node.expectedWork(d.entry), minHedgeDelay)
-}
-
 // choose picks a destination. If none is left, it retries all of them after a short delay until the request is given up.
 func (d *dispatcher) choose(ctx context.Context) (balance.Candidate, bool) {
 	req := d.entry.req
 	giveUpAt := d.node.giveUpAt(d.entry)
 	for ctx.Err() == nil {
-		choice, err := d.node.picker.Pick(req.Service, balance.LatencyQuery{
-			Route: req.Route, Importance: req.Importance, Rank: req.Rank().Advanced(req.Inner), TimeLeft: time.Until(req.Deadline),
-			Bytes: max(0, req.ContentLength), Exclude: d.tried,
-		}, time.Now(), random.Shared)
+		choice, err := d.node.picker.Pick(req.Service, d.query(), time.Now(), random.Shared)
 		if err == nil {
 			d.tried = append(d.tried, choice.ID)
 			return choice, true
@@ -221,7 +213,7 @@
 		response, err = n.forwarder.Forward(ctx, to, attempt, forwardWait(time.Until(attempt.Deadline)))
 	}
 	end := time.Now()
-	result := balance.LatencyResult{Latency: end.Sub(start)}
+	result := balance.LatencyResult{Latency: end.Sub(start), Class: workClass(d.entry.req)}
 	if err == nil {
 		result.Bytes, result.Load = max(0, response.ContentLength), &response.Load
 		if serverError(response) {
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -276,7 +276,7 @@
 	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
 	g.mu.Unlock()
 	if u := n.local.current.Load(); u != nil {
-		state.ShedFrom = uint32(u.gate.Load().ShedFrom)
+		encodeUpstreamLoad(state, u, time.Now())
 	}
 	encodeLimits(state, n.limits.All(time.Now()))
 	encodeShares(state, n.shares.PrepareMessage(peer, time.Now()))
@@ -366,6 +366,8 @@
 	if current && dated {
 		if service := n.registry.serviceOf(state.Node); service != "" {
 			n.limits.RecordDestination(service, state.Node, call.Rank(min(state.ShedFrom, uint32(call.RankLimit))), now.Add(-age))
+			load, usual := decodeUpstreamLoad(state)
+			n.picker.Report(service, state.Node, load, usual, now.Add(-age))
 		}
 		n.limits.Relay(decodeLimits(state), now.Add(-age))
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -241,12 +241,14 @@
 
 func (n *Node) housekeeping(ctx context.Context) {
 	var sharesLogged time.Time
+	picks := map[string]balance.PickCounts{}
 	for ctx.Err() == nil {
 		n.upstreams.Sweep()
 		n.forwarder.Sweep()
 		n.quarantine.Expire(time.Now())
 		n.updateRepeatLimits()
 		n.logUpstreamLimit()
+		n.logWork(picks, time.Now())
 		if time.Since(sharesLogged) >= sharesLogInterval {
 			sharesLogged = time.Now()
 			n.log.event("quota_shares").Interface("workspaces", n.shares.Status(time.Now())).Msg("quota shares")
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipglade/cowslipglade/admission"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/quarantine"
+	"github.com/cowslipglade/cowslipglade/workload"
 )
 
 const (
@@ -46,6 +47,8 @@
 	crashed bool
 	gate    *admission.Gate
 	tracker *quarantine.Tracker
+	// meter follows what waits and runs, for the load reports.
+	meter *workload.Meter
 }
 
 func (u *localUpstream) leaving() bool { return u.Draining || u.departed }
@@ -146,11 +149,12 @@
 	if same {
 		// A later heartbeat does not undo a drain.
 		next.Draining = beat.Draining || old.Draining
-		next.gate, next.tracker = old.gate, old.tracker
+		next.gate, next.tracker, next.meter = old.gate, old.tracker, old.meter
 		next.gate.SetSlots(beat.Slots)
 	} else {
 		next.gate = newGate(beat.Slots)
 		next.tracker = quarantine.NewTracker(s.node.quarantine)
+		next.meter = workload.NewMeter()
 	}
 	next.gate.SetDraining(next.leaving())
 	s.current.Store(next)
@@ -280,6 +284,7 @@
 		lastHeartbeat: time.Now(),
 		gate:          newGate(assumedSlots),
 		tracker:       quarantine.NewTracker(n.quarantine),
+		meter:         workload.NewMeter(),
 	})
 	n.log.event("upstream").Str("instance", instance).Str("outcome", "healthy").Msg("upstream probed")
 	n.registry.publish()
