--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -84,7 +84,7 @@
 		}
 		return nil, n.refuseLocal(req, call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%s", reason), nil)
 	}
-	metered := &meteredCall{meter: u.meter, call: u.meter.Wait(workClass(req)), waitedSince: start}
+	metered := newMeteredCall(u, req, start)
 	defer metered.drop() // unless it has started
 	queueCtx, cancel := context.WithTimeout(ctx, patience(req.Deadline.Sub(start), u.gate.ServiceTime(req.Route)))
 	release, err := u.gate.AcquireQueued(queueCtx, &admission.Item{
@@ -170,6 +170,9 @@
 		end()
 		releaseSlot(result)
 	}
+	if req.Workspace != "" {
+		n.metrics.upstreamSends.Add(req.Workspace, 1)
+	}
 	response, err := n.upstreams.Run(ctx, u.Address, req)
 	n.metrics.upstreamLatency.record(time.Since(start))
 	if err != nil {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -280,8 +280,8 @@
 	return true
 }
 
-// repeatAllowed charges one repeated send to the limits of the route and the service and reports whether
-// they allow it. ran means that an earlier send may have run.
+// repeatAllowed charges one repeated send to the limits of the route and the service, and to the rate of the workspace
+// if an earlier send may have run. It reports whether they allow it.
 func (d *dispatcher) repeatAllowed(ran bool) bool {
 	attempts := d.entry.route.MaxAttempts
 	if attempts <= 0 {
@@ -290,6 +290,10 @@
 	if d.repeats+1 >= attempts || !d.node.repeats.AllowRepeat(d.entry.req.Service, ran, time.Now()) {
 		return false
 	}
+	if ran && !d.node.shares.TakeRepeat(d.entry.req.Workspace, time.Now()) {
+		d.node.metrics.repeats.Add("above_rate", 1)
+		return false
+	}
 	d.repeats++
 	return true
 }
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -154,7 +154,7 @@
 	} else {
 		next.gate = newGate(beat.Slots)
 		next.tracker = quarantine.NewTracker(s.node.quarantine)
-		next.meter = workload.NewMeter()
+		next.meter = s.node.newMeter()
 	}
 	next.gate.SetDraining(next.leaving())
 	s.current.Store(next)
@@ -284,7 +284,7 @@
 		lastHeartbeat: time.Now(),
 		gate:          newGate(assumedSlots),
 		tracker:       quarantine.NewTracker(n.quarantine),
-		meter:         workload.NewMeter(),
+		meter:         n.newMeter(),
 	})
 	n.log.event("upstream").Str("instance", instance).Str("outcome", "healthy").Msg("upstream probed")
 	n.registry.publish()
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -39,14 +39,26 @@
 	started, ended     bool
 }
 
+// newMeteredCall returns a call that waits from start on. It is not metered if the upstream has no meter.
+func newMeteredCall(u *localUpstream, req *call.Request, start time.Time) *meteredCall {
+	c := &meteredCall{meter: u.meter, waitedSince: start}
+	if u.meter != nil {
+		c.call = u.meter.Wait(workClass(req))
+	}
+	return c
+}
+
 func (c *meteredCall) drop() {
-	if !c.started {
+	if !c.started && c.meter != nil {
 		c.meter.Drop(c.call)
 	}
 }
 
 func (c *meteredCall) start(now time.Time) {
 	c.started = true
+	if c.meter == nil {
+		return
+	}
 	c.waited = now.Sub(c.waitedSince)
 	c.meter.Start(c.call, now)
 	c.usual = c.meter.Usual(c.call)
@@ -54,16 +66,29 @@
 
 // end records the end of the call. Only the first call counts.
 func (c *meteredCall) end(completed bool, now time.Time) {
-	if c.ended {
+	if c.ended || c.meter == nil {
 		return
 	}
 	c.ended = true
 	c.ran, c.usual = c.meter.End(c.call, completed, now)
 }
 
-// load returns the load signal of the upstream.
+// newMeter returns the meter of a new upstream, or nil where settings do not ask for a choice by expected work.
+func (n *Node) newMeter() *workload.Meter {
+	if !n.settings().BalanceByWork {
+		return nil
+	}
+	return workload.NewMeter()
+}
+
+// load returns the load signal of the upstream. Without a meter it has no pace, and other nodes choose this upstream by
+// the average latency of its calls.
 func (u *localUpstream) load(now time.Time) call.Load {
-	load, report := u.gate.Load(), u.meter.Report(now)
+	load := u.gate.Load()
+	if u.meter == nil {
+		return load
+	}
+	report := u.meter.Report(now)
 	load.Waiting, load.WorkLeft, load.Pace = report.Waiting, report.Left, report.Pace
 	return load
 }
@@ -72,6 +97,9 @@
 func encodeUpstreamLoad(state *gossipv1.State, u *localUpstream, now time.Time) {
 	load := u.load(now)
 	state.ShedFrom = uint32(load.ShedFrom)
+	if u.meter == nil {
+		return
+	}
 	state.Load = &gossipv1.UpstreamLoad{
 		InFlight: uint32(load.InFlight), Limit: uint32(load.Limit), QueueDelayUs: load.QueueDelay.Microseconds(),
 		Admitted: uint32(load.Admitted), Draining: load.Draining, Waiting: uint32(load.Waiting),
@@ -132,7 +160,7 @@
 // logWork logs a slow upstream on this VM, and services whose calls leave this failure domain for upstreams that are
 // expected to be faster. since holds the counts of the last call, which it updates.
 func (n *Node) logWork(since map[string]balance.PickCounts, now time.Time) {
-	if u := n.local.current.Load(); u != nil {
+	if u := n.local.current.Load(); u != nil && u.meter != nil {
 		if load := u.load(now); load.Pace < logPaceBelow {
 			n.log.event("upstream_pace").Float64("pace", load.Pace).Dur("work_left_ms", load.WorkLeft).Int("in_flight", load.InFlight).
 				Int("waiting", load.Waiting).Int("limit", load.Limit).Msg("calls run for longer than expected")
@@ -152,7 +180,7 @@
 // upstreamWork describes the work of the upstream on this VM for operators.
 func (n *Node) upstreamWork() any {
 	u := n.local.current.Load()
-	if u == nil {
+	if u == nil || u.meter == nil {
 		return nil
 	}
 	load := u.load(time.Now())
