--- a/retry/repeat_limiter_test.go
+++ b/retry/repeat_limiter_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/call"
 )
 
 // In a chain of services each call makes one call to the next service, and all calls fail. Operators count
@@ -29,14 +31,14 @@
 		if level == depth {
 			return
 		}
-		limiter.RecordRequest(names[level], now)
+		limiter.RecordRequest(names[level], false, now)
 		if repeated {
 			repeats[level]++
 		} else {
 			firsts[level]++
 		}
 		run(level+1, repeated)
-		if limiter.AllowRepeat(names[level], true, now) {
+		if limiter.AllowRepeat(names[level], Repeat{MayHaveRun: true}, now) == Granted {
 			repeats[level]++
 			run(level+1, true)
 		}
@@ -55,10 +57,10 @@
 	limiter := NewRepeatLimiter(RepeatLimits{Window: 10 * time.Second, Ratio: 0.1, Slack: 2, MayHaveRunFraction: 0.5})
 	now := time.Unix(100, 0)
 	for range 20 {
-		limiter.RecordRequest("s", now)
+		limiter.RecordRequest("s", false, now)
 	}
 	count := func(mayHaveRun bool, at time.Time) (n int) {
-		for limiter.AllowRepeat("s", mayHaveRun, at) {
+		for limiter.AllowRepeat("s", Repeat{MayHaveRun: mayHaveRun}, at) == Granted {
 			n++
 		}
 		return n
@@ -68,3 +70,28 @@
 	must.Eq(t, 0, count(false, now.Add(9*time.Second)), must.Sprint("still in the window"))
 	must.Eq(t, 2, count(false, now.Add(12*time.Second)), must.Sprint("only the slack is left"))
 }
+
+// Guards against unimportant calls that use up scarce repeats first, and against a base that shrinks with the requests that
+// entry nodes refuse because the budget is scarce.
+func TestRepeatLimiterByRank(t *testing.T) {
+	const perSecond, scarce, seconds = 200, 20, 30
+	limiter := NewRepeatLimiter(RepeatLimits{Window: 10 * time.Second, Ratio: 0.2, MayHaveRunFraction: 0.1})
+	granted := [2]int{}
+	for i := range seconds * perSecond {
+		now := time.Unix(1000, 0).Add(time.Duration(i) * time.Second / perSecond)
+		refused := i >= scarce*perSecond
+		if !refused || i%2 == 0 { // then half of the requests are refused where they enter
+			limiter.RecordRequest("s", false, now)
+		}
+		if refused {
+			important := i % 10 / 9 // a tenth of the calls, the last of each ten
+			if limiter.AllowRepeat("s", Repeat{Rank: call.Rank(900 - 800*important), EntryLimited: true}, now) == Granted {
+				granted[important]++
+			}
+		}
+	}
+	wanted := (seconds - scarce) * perSecond / 10
+	must.Eq(t, wanted, granted[1])
+	must.LessEq(t, perSecond*10/5, granted[0]+granted[1])
+	must.Greater(t, perSecond*10/5*2/3, granted[0]+granted[1], must.Sprint("a base that falls to a half allows two thirds at most"))
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -33,15 +33,21 @@
 	route  *config.Route
 	req    *call.Request
 	body   *call.ReplayBody
-	start  time.Time
+	// incoming is the body as it is read; nil before.
+	incoming *httpserver.Body
+	start    time.Time
 	// abort ends when the shutdown of this node aborts the request.
 	abort context.Context
 	// parent is the route of the running request that made this one; empty for requests of clients and where
 	// it is unknown.
 	parent string
+	// answered is the number of calls of the parent that were answered before this one.
+	answered int
 	// early means that the request was started before its turn on a connection with pipelined requests. mustWait means that
 	// it was not run then, as its route is not idempotent.
 	early, mustWait bool
+	// release ends the part of the request in which it has calls; nil before.
+	release func()
 	// aborted means that the shutdown of this node aborted the request.
 	aborted bool
 }
@@ -56,8 +62,11 @@
 		started = n.newEntry(r.Context(), r)
 		started.run(w, r)
 	}
-	defer started.cancel()
+	defer started.end()
 	e, response, refusal := started.entry, started.response, started.refusal
+	if refusal != nil && e.incoming != nil && e.incoming.TooLarge() {
+		refusal.Code, refusal.Message = call.CodeBodyTooLarge, "request body is above the limit"
+	}
 	e.aborted = n.abortedByStop(r.Context(), e.abort, refusal)
 	elapsed := time.Since(e.start)
 	n.metrics.recordRequest(refusal, elapsed)
@@ -128,6 +137,11 @@
 		return nil, n.bodyRefusal(e, err)
 	}
 	e.body = body
+	release, refusal := n.beginCalls(ctx, e)
+	if refusal != nil {
+		return nil, refusal
+	}
+	e.release = release
 	if !e.route.Open || e.req.Workspace != "" {
 		if refusal := n.acquireQuota(ctx, e); refusal != nil {
 			return nil, refusal
@@ -145,10 +159,11 @@
 // readBody reads the request body, buffering it in memory if it fits. Reading is bounded by the deadline and
 // by the abort time of a shutdown.
 func readBody(w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.ReplayBody, error) {
+	body := httpserver.NewBody(w, r)
+	e.incoming = body
 	if r.ContentLength == 0 {
 		return call.NewReplayBody(&call.Request{})
 	}
-	body := httpserver.NewBody(w, r)
 	if err := body.SetDeadline(e.req.Deadline); err != nil {
 		return nil, err
 	}
@@ -170,6 +185,11 @@
 		refusal.RetryAfter = staleConfigRetryAfter
 		return refusal
 	}
+	if !n.evacuation.known() {
+		refusal := call.NewRefusal(call.CodeStaleConfiguration, call.NotRun, "evacuated failure domains are not known yet")
+		refusal.RetryAfter = staleConfigRetryAfter
+		return refusal
+	}
 	// An unknown route or key may be part of a configuration that this node has not read yet.
 	current := n.configuration.freshWithin(n.settings().ConfigApplyTime)
 	route := active.routes.match(r.Host, r.RequestURI)
@@ -282,13 +302,17 @@
 // run.
 func refusalStatus(refusal *call.Refusal) int {
 	if refusal.Outcome == call.MayHaveRun {
-		if refusal.Code == call.CodeDeadline {
+		switch refusal.Code {
+		case call.CodeDeadline:
 			return http.StatusGatewayTimeout
+		case call.CodeBodyTooLarge:
+			return refusal.Status()
 		}
 		return http.StatusBadGateway
 	}
 	switch refusal.Code {
-	case call.CodeUnknownRoute, call.CodeMissingKey, call.CodeUnknownKey, call.CodeRateExceeded, call.CodeIncompleteBody, call.CodeBadRequest:
+	case call.CodeUnknownRoute, call.CodeMissingKey, call.CodeUnknownKey, call.CodeRateExceeded, call.CodeIncompleteBody, call.CodeBadRequest,
+		call.CodeHeaderTooLarge, call.CodeBodyTooLarge:
 		return refusal.Status()
 	}
 	return http.StatusServiceUnavailable
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -29,6 +29,7 @@
 
 	"github.com/cowslipglade/cowslipglade/backpressure"
 	"github.com/cowslipglade/cowslipglade/balance"
+	"github.com/cowslipglade/cowslipglade/intake"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/httpserver"
 	"github.com/cowslipglade/cowslipglade/internal/pipeline"
@@ -47,8 +48,6 @@
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout closes connections that send no request.
 	readHeaderTimeout = 10 * time.Second
-	// clientIdleTimeout exceeds the idle time that operators allow clients, 15 s by default.
-	clientIdleTimeout = 60 * time.Second
 	// housekeepingInterval is the time between two sweeps of idle connections and expired crash marks.
 	housekeepingInterval = time.Second
 	// sharesLogInterval is the time between two log lines with the quota shares.
@@ -69,6 +68,8 @@
 	// MountHeartbeats and MountReady register the platform's routes on a server.
 	MountHeartbeats func(*echo.Echo, HeartbeatHandler)
 	MountReady      func(*echo.Echo, func() bool)
+	// EvacuationPrefix is followed by the name of an evacuated failure domain in the keys of the store.
+	EvacuationPrefix string
 }
 
 // Node is the sidecar process of one VM.
@@ -97,6 +98,7 @@
 	refusingAll atomic.Bool // all requests are refused
 
 	configuration     *configuration
+	evacuation        *evacuation
 	registry          *registry
 	gossip            *gossip
 	local             *upstreamState
@@ -104,8 +106,10 @@
 	loans             *loans
 	picker            *balance.LatencyPicker
 	repeats           *retry.RepeatLimiter
+	repeatNodes       atomic.Int64 // the largest number of nodes known
 	limits            *backpressure.Limits
-	running           lineage.Tracker // requests on the upstream of this VM
+	carry             *backpressure.Carry // of the upstream of this VM
+	running           lineage.Tracker     // requests on the upstream of this VM
 	quarantine        *quarantine.List
 	upstreams         *upstream.DirectClient
 	forwarder         *peer.Forwarder
@@ -115,6 +119,10 @@
 	entryInFlight     atomic.Int64 // requests in progress that entered at this node
 	forwardedInFlight atomic.Int64 // forwarded calls in progress
 
+	// calls counts the requests that have calls in progress, maxCalls bounds them.
+	calls    atomic.Int64
+	maxCalls int64
+
 	servers []*server
 	tasks   sync.WaitGroup
 	ctx     context.Context
@@ -126,10 +134,8 @@
 	*httpserver.Server
 	address  string
 	listener net.Listener
-}
-
-func newServer(name, address string, s *http.Server) *server {
-	return &server{Server: httpserver.New(name, s), address: address}
+	ledger   *intake.Ledger
+	guard    *httpserver.Guard
 }
 
 // New returns a node that is not listening yet. The incarnation must be higher than that of every earlier
@@ -138,16 +144,22 @@
 	n := &Node{
 		dependencies: dependencies, store: dependencies.Store, source: dependencies.Configuration, headers: dependencies.Headers,
 		log: newEventLog(log), incarnation: incarnation, generation: newStoreGeneration(dependencies.Store),
-		shares:     newShares(settings),
+		shares:     newShares(settings, incarnation),
 		picker:     balance.NewLatencyPicker(latencyConfig(settings), balance.Origin{Node: settings.Node, FailureDomain: settings.FailureDomain, Region: settings.Region}),
 		repeats:    retry.NewRepeatLimiter(retry.RepeatLimits{}),
 		limits:     backpressure.New(),
+		carry:      backpressure.NewCarry(),
 		quarantine: newQuarantine(),
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
 	n.currentSettings.Store(settings)
+	n.maxCalls = intake.Calls(settings.Descriptors)
 	n.upstreams = upstream.NewDirectClient(func(response http.Header) string {
 		return n.headers.ReadResponse(response).RequestID
+	}, func(address string) {
+		if address == n.settings().UpstreamAddress {
+			n.local.doubt("idle_connection_closed")
+		}
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.runCtx, n.abortRunning = context.WithCancel(context.Background())
@@ -155,10 +167,11 @@
 	n.pipeline = newPipeline(n)
 	n.metrics = newMetrics(n)
 	n.configuration = newConfiguration(n)
+	n.evacuation = &evacuation{node: n}
 	n.registry = newRegistry(n)
 	n.gossip = newGossip(n)
 	n.loans = newLoans(n)
-	n.local = &upstreamState{node: n}
+	n.local = newUpstreamState(n)
 	return n
 }
 
@@ -189,6 +202,7 @@
 	merged.StoreAddress = old.StoreAddress
 	n.currentSettings.Store(&merged)
 	n.log.event("reload").Str("service", merged.Service).Str("upstream", merged.UpstreamAddress).Msg("settings reloaded")
+	n.local.configurePacer(time.Now())
 	n.registry.publish()
 }
 
@@ -196,11 +210,11 @@
 func (n *Node) Start() error {
 	s := n.settings()
 	n.servers = []*server{
-		newServer("requests", s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, ConnContext: pipeline.ConnContext}),
-		newServer("peers", s.PeerAddress, &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}),
-		newServer("control", s.ControlAddress, &http.Server{Handler: n.controlHandler()}),
-		newServer("heartbeats", s.HeartbeatAddress, &http.Server{Handler: n.heartbeatHandler()}),
-		newServer("ready", s.ReadyAddress, &http.Server{Handler: n.readyHandler()}),
+		n.newServer(intake.Requests, s.RequestAddress, &http.Server{Handler: n, MaxHeaderBytes: maxHeaderBytes, ConnContext: pipeline.ConnContext}),
+		n.newServer(intake.Peers, s.PeerAddress, &http.Server{Handler: peer.NewAcceptor(n), MaxHeaderBytes: maxHeaderBytes, IdleTimeout: peer.AcceptorIdleTimeout}),
+		n.newServer(intake.Control, s.ControlAddress, &http.Server{Handler: n.controlHandler(), MaxHeaderBytes: maxHeaderBytes}),
+		n.newServer(intake.Heartbeats, s.HeartbeatAddress, &http.Server{Handler: n.heartbeatHandler(), MaxHeaderBytes: maxHeaderBytes}),
+		n.newServer(intake.Ready, s.ReadyAddress, &http.Server{Handler: n.readyHandler(), MaxHeaderBytes: maxHeaderBytes}),
 	}
 	for _, server := range n.servers {
 		server.ReadHeaderTimeout = readHeaderTimeout
@@ -214,12 +228,12 @@
 			}
 			return fmt.Errorf("%w: %s: %w", ErrListen, server.Name, err)
 		}
-		server.listener = listener
+		server.listener = server.guard.Listen(listener)
 	}
 	n.servers[0].listener = n.pipeline.Listener(n.servers[0].listener)
 	n.registry.publish()
 	for _, task := range []func(context.Context){
-		n.configuration.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration,
+		n.configuration.run, n.evacuation.run, n.registry.runWatch, n.registry.runPublish, n.gossip.run, n.local.sweepQueue, n.housekeeping, n.probeAfterConfiguration, n.local.watchHealth,
 	} {
 		n.tasks.Go(func() { task(n.ctx) })
 	}
@@ -249,6 +263,7 @@
 	for ctx.Err() == nil {
 		n.upstreams.Sweep()
 		n.forwarder.Sweep()
+		n.sweepClients(time.Now())
 		n.quarantine.Expire(time.Now())
 		n.updateRepeatLimits()
 		n.logUpstreamLimit()
@@ -289,5 +304,5 @@
 
 // ready reports whether clients may use this node.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.configuration.current.Load() != nil
+	return !n.stopping.Load() && n.configuration.current.Load() != nil && n.evacuation.known()
 }
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -94,9 +94,8 @@
 }
 
 // encodeUpstreamLoad adds the load of this node's upstream to the state of an exchange.
-func encodeUpstreamLoad(state *gossipv1.State, u *localUpstream, now time.Time) {
-	load := u.load(now)
-	state.ShedFrom = uint32(load.ShedFrom)
+func encodeUpstreamLoad(state *gossipv1.State, load call.Load, u *localUpstream) {
+	state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
 	if u.meter == nil {
 		return
 	}
--- a/sidecar/work_test.go
+++ b/sidecar/work_test.go
@@ -19,7 +19,7 @@
 // change what is known.
 func TestUpstreamLoadInExchange(t *testing.T) {
 	n := testNode("a", 1)
-	u := &localUpstream{gate: newGate(8), meter: workload.NewMeter()}
+	u := &localUpstream{gate: newGate(8, nil), meter: workload.NewMeter()}
 	now := time.Now()
 	for range 20 {
 		c := u.meter.Wait(workload.Class{Route: "r", Method: "GET"})
@@ -75,7 +75,7 @@
 func TestRefusedCallLeavesMeter(t *testing.T) {
 	n := testNode("a", 1)
 	u := &localUpstream{
-		Heartbeat: Heartbeat{Service: "s", Slots: 1}, lastHeartbeat: time.Now(), gate: newGate(1), meter: workload.NewMeter(),
+		Heartbeat: Heartbeat{Service: "s", Slots: 1}, lastHeartbeat: time.Now(), gate: newGate(1, nil), meter: workload.NewMeter(),
 	}
 	n.local.current.Store(u)
 	release, err := u.gate.Acquire(t.Context(), &admission.Item{Route: "r"})
