--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -95,7 +95,7 @@
 
 // encodeUpstreamLoad adds the load of this node's upstream to the state of an exchange.
 func encodeUpstreamLoad(state *gossipv1.State, load call.Load, u *localUpstream) {
-	state.ShedFrom, state.CarryFrom = uint32(load.ShedFrom), uint32(load.CarryFrom)
+	state.ShedFrom = uint32(load.ShedFrom)
 	if u.meter == nil {
 		return
 	}
