--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -87,6 +87,8 @@
 	if refusal := n.evacuation.refuseLocal(); refusal != nil {
 		return nil, n.refuseLocal(req, refusal, nil)
 	}
+	metered := newMeteredCall(u, req, start)
+	defer metered.drop() // unless it has started
 	queueCtx, cancel := context.WithTimeout(ctx, patience(req.Deadline.Sub(start), u.gate.ServiceTime(req.Route)))
 	release, err := u.gate.AcquireQueued(queueCtx, &admission.Item{
 		Workspace: req.Workspace, KeyHash: req.KeyHash, Route: req.Route, Importance: req.Importance, Deadline: req.Deadline,
@@ -120,7 +122,7 @@
 		release(admission.Ignored)
 		return nil, n.refuseLocal(req, refusal, u)
 	}
-	return n.runUpstream(ctx, u, req, func(result admission.Result) {
+	return n.runUpstream(ctx, u, req, metered, func(result admission.Result) {
 		u.tracker.End(ticket, result == admission.Succeeded, time.Now())
 		release(result)
 	})
@@ -129,7 +131,7 @@
 // refuseLocal adds the load to a refusal, counts it and logs it.
 func (n *Node) refuseLocal(req *call.Request, refusal *call.Refusal, u *localUpstream) *call.Refusal {
 	if u != nil {
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load, refusal.Limits = &load, n.limits.Below(req.Route, req.Service, time.Now())
 	}
 	n.metrics.refused.Add(string(refusal.Code), 1)
@@ -163,14 +165,16 @@
 }
 
 // runUpstream sends an admitted call. It calls release exactly once, when the upstream has finished.
-func (n *Node) runUpstream(ctx context.Context, u *localUpstream, req *call.Request, release func(admission.Result)) (*call.Response, error) {
+func (n *Node) runUpstream(ctx context.Context, u *localUpstream, req *call.Request, metered *meteredCall, release func(admission.Result)) (*call.Response, error) {
 	n.headers.PutUpstream(req.Header, UpstreamFields{
 		RequestID: req.RequestID, Timeout: time.Until(req.Deadline), Instance: u.Instance, Workspace: req.Workspace, CallerService: req.CallerService,
 	})
 	start := time.Now()
 	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder, Repeated: req.Repeated})
+	metered.start(start)
 	releaseSlot := release
 	release = func(result admission.Result) {
+		metered.end(result == admission.Succeeded, time.Now())
 		end()
 		releaseSlot(result)
 	}
@@ -183,7 +187,7 @@
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
 		refusal := upstreamRefusal(err)
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load = &load
 		return nil, refusal
 	}
@@ -191,11 +195,15 @@
 	if refusal != nil {
 		_ = response.Body.Close()
 		release(admission.Failed)
-		load := u.gate.Load()
+		load := u.load(time.Now())
 		refusal.Load = &load
 		return nil, refusal
 	}
-	response.Load, response.Limits = u.gate.Load(), n.limits.Below(req.Route, req.Service, time.Now())
+	if response.Buffered {
+		metered.end(admissionResult(response) == admission.Succeeded, time.Now())
+	}
+	response.Load, response.Limits = u.load(time.Now()), n.limits.Below(req.Route, req.Service, time.Now())
+	response.Load.Waited, response.Load.Ran, response.Load.Usual = metered.waited, metered.ran, metered.usual
 	if response.Buffered {
 		release(admissionResult(response))
 	} else {
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -168,7 +168,7 @@
 		HeartbeatAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), StoreAddress: "127.0.0.1:1",
 		HeartbeatInterval: time.Second, ShutdownTimeout: 6 * time.Second, DrainTime: 2 * time.Second, ConfigApplyTime: 2 * time.Second,
 		WithdrawalTime: 2 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100,
-		QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
+		QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20, BalanceByWork: true,
 	}
 	if f.adjust != nil {
 		f.adjust(s)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -44,6 +44,9 @@
 	MemoryBytes int64
 	// LinkBytesPerSecond is the bandwidth of the VM's network link, or 0 if unknown.
 	LinkBytesPerSecond float64
+	// BalanceByWork means that upstreams are chosen by the work that a call is expected to cost and by the work left at each
+	// of them (see package workload).
+	BalanceByWork bool
 	// Descriptors is the maximum number of open files.
 	Descriptors int
 	// ShutdownTimeout is the time between SIGTERM and SIGKILL.
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -15,6 +15,7 @@
 	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/warmup"
+	"github.com/cowslipglade/cowslipglade/workload"
 )
 
 const (
@@ -47,6 +48,8 @@
 	crashed bool
 	gate    *admission.Gate
 	tracker *quarantine.Tracker
+	// meter follows what waits and runs, for the load reports.
+	meter *workload.Meter
 }
 
 func (u *localUpstream) leaving() bool { return u.Draining || u.departed }
@@ -162,7 +165,7 @@
 	if same {
 		// A later heartbeat does not undo a drain.
 		next.Draining = beat.Draining || old.Draining
-		next.gate, next.tracker = old.gate, old.tracker
+		next.gate, next.tracker, next.meter = old.gate, old.tracker, old.meter
 		next.gate.SetSlots(beat.Slots)
 	} else {
 		next.gate = newGate(beat.Slots, s.pacer)
@@ -170,6 +173,7 @@
 			s.refuseHeld(old)
 		}
 		next.tracker = quarantine.NewTracker(s.node.quarantine)
+		next.meter = s.node.newMeter()
 	}
 	next.gate.SetDraining(next.leaving())
 	s.recordStart(old, next, now)
@@ -319,6 +323,7 @@
 		lastHeartbeat: time.Now(),
 		gate:          newGate(assumedSlots, s.pacer),
 		tracker:       quarantine.NewTracker(n.quarantine),
+		meter:         n.newMeter(),
 	})
 	n.log.event("upstream").Str("instance", instance).Str("outcome", "healthy").Msg("upstream probed")
 	n.registry.publish()
