--- a/ratelimit/join.go
+++ b/ratelimit/join.go
@@ -55,6 +55,10 @@
 	// assigned means that another node has divided the rates.
 	assigned bool
 	epoch    uint64
+	// wait is what the node waits for, and waitNodes the nodes concerned, since waitSince.
+	wait      JoinWait
+	waitNodes []string
+	waitSince time.Time
 }
 
 // complete keeps the roster.
@@ -132,12 +136,8 @@
 		}
 		j.reported = map[string]float64{} // others hold the share, or restore it
 	}
-	if !j.assigned && now.Sub(j.startedAt) < s.contactTimeout() {
-		for _, m := range s.members {
-			if m.lastContact.IsZero() {
-				return
-			}
-		}
+	if len(s.unheard(now)) > 0 {
+		return
 	}
 	s.joined, s.inheritedAt, s.epoch, s.epochStart, s.snapshotPartial = true, now, j.epoch, now, true
 	// The loans of the previous process have expired LoanLifetime after the start. The tokens since then are unspent, but
@@ -157,42 +157,80 @@
 	}
 }
 
-// mayDivide reports whether this node divides the rates because no node holds any share.
-func (s *Shares) mayDivide(now time.Time) bool {
+// unheard returns the nodes whose report of this node's share may still be newer than the one it has.
+func (s *Shares) unheard(now time.Time) (names []string) {
+	if s.joining.assigned || now.Sub(s.joining.startedAt) >= s.contactTimeout() {
+		return nil
+	}
+	for name, m := range s.members {
+		if m.lastContact.IsZero() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// divisionWait returns what this node waits for before it divides the rates because no node holds any share, and the nodes
+// concerned. It divides them once it waits for nothing.
+func (s *Shares) divisionWait(now time.Time) (JoinWait, []string) {
 	j := &s.joining
-	if !j.membersKnown || len(s.members) > 0 && !j.workspacesKnown {
-		return false
+	if !j.membersKnown {
+		return WaitRegistry, nil
+	}
+	if len(s.members) > 0 && !j.workspacesKnown {
+		return WaitConfiguration, nil
 	}
 	if j.completeAt.IsZero() {
 		j.completeAt = now
 	}
-	contacted, missing, same, lowest := 1, 0, true, true
-	for _, m := range s.members {
-		if m.joined {
-			return false // reports the share of this node
-		}
-		if m.roster.known() && !m.lastContact.IsZero() && m.roster != j.roster {
+	var joined, smaller, lower []string
+	same := true
+	for name, m := range s.members {
+		switch {
+		case m.joined:
+			joined = append(joined, name)
+		case m.roster.known() && !m.lastContact.IsZero() && m.roster != j.roster:
 			if m.roster.before(j.roster) {
-				return false
+				smaller = append(smaller, name)
 			}
 			same = false
-		} else if m.complete && m.Name < s.self.Name {
-			lowest = false
+		case m.complete && name < s.self.Name:
+			lower = append(lower, name)
 		}
 	}
+	missing := s.missing()
+	contacted := len(j.rosterNodes) - len(missing)
 	for _, member := range j.rosterNodes[1:] {
-		switch m := s.members[member.Name]; {
-		case m == nil: // its registration has lapsed
-		case m.lastContact.IsZero():
-			missing++
-		default:
-			contacted++
+		if s.members[member.Name] == nil {
+			contacted-- // its registration has lapsed
 		}
 	}
-	if now.Sub(j.completeAt) >= s.config.JoinTimeout {
-		return missing == 0 || same && contacted > missing
+	overdue := now.Sub(j.completeAt) >= s.config.JoinTimeout
+	switch {
+	case len(joined) > 0:
+		return WaitReport, joined
+	case len(smaller) > 0:
+		return WaitSmallerRoster, smaller
+	case len(missing) > 0 && !overdue:
+		return WaitContacts, missing
+	case len(missing) > 0 && !same:
+		return WaitDifferingRosters, missing
+	case len(missing) > 0 && contacted <= len(missing):
+		return WaitMajority, missing
+	case !overdue && len(lower) > 0:
+		return WaitDivider, lower // assigns their parts to the others
+	}
+	return WaitNone, nil
+}
+
+// missing returns the nodes of the roster that this node has had no contact with and whose registration has not lapsed.
+func (s *Shares) missing() (names []string) {
+	for _, member := range s.joining.rosterNodes[1:] {
+		if m := s.members[member.Name]; m != nil && m.lastContact.IsZero() {
+			names = append(names, member.Name)
+		}
 	}
-	return missing == 0 && lowest // assigns their parts to the others
+	return names
 }
 
 // divide assigns an even share to each holder of the roster, and takes that of this node. The others get theirs in
--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -264,8 +264,10 @@
 	defer s.mu.Unlock()
 	if !s.joined {
 		s.inherit(now)
-		if s.mayDivide(now) {
+		if wait, nodes := s.divisionWait(now); wait == WaitNone && !s.joined {
 			s.divide(now)
+		} else {
+			s.recordWait(now, wait, nodes)
 		}
 		return s.joined
 	}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -268,6 +269,10 @@
 		return nil
 	}
 	refusal := call.NewRefusal(call.CodeRateExceeded, call.NotRun, "workspace %s is above this node's share of its rate", workspace)
+	if status := n.shares.JoinStatus(time.Now()); !status.Joined {
+		refusal.Message = fmt.Sprintf("workspace %s: this node holds no share of its rate; waiting for %s for %.1f s, %d nodes concerned",
+			workspace, status.Wait, status.Seconds, status.NodeCount)
+	}
 	refusal.RetryAfter = wait
 	return refusal
 }
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -109,6 +109,7 @@
 // run performs gossip rounds until ctx ends.
 func (g *gossip) run(ctx context.Context) {
 	joined := false
+	var logged joinLog
 	for ctx.Err() == nil {
 		var round sync.WaitGroup
 		complete := g.node.registry.isComplete()
@@ -121,6 +122,7 @@
 		}
 		joinedBefore := joined
 		joined = g.node.shares.Reconcile(time.Now())
+		g.logJoin(&logged)
 		switch {
 		case !joined:
 			clock.Sleep(ctx, gossipJoinInterval)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -132,6 +132,8 @@
 		return age.Seconds()
 	}))
 	m.vars.Set("quota_shares", expvar.Func(func() any { return n.shares.Status(time.Now()) }))
+	m.vars.Set("quota_join", expvar.Func(func() any { return n.shares.JoinStatus(time.Now()) }))
+	m.vars.Set("members_pending_removal", expvar.Func(func() any { return n.registry.unlisted(time.Now()) }))
 	m.vars.Set("work_estimates", expvar.Func(func() any { return n.picker.WorkStatus() }))
 	m.vars.Set("upstream_work", expvar.Func(n.upstreamWork))
 	m.vars.Set("members", expvar.Func(func() any { return len(n.registry.others()) + 1 }))
--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -80,15 +80,19 @@
 // shutdown is removed immediately.
 func (r *registry) markUnlisted(name string) {
 	r.mu.Lock()
-	if m := r.members[name]; m != nil {
-		m.listed = false
+	m, stopping := r.members[name], false
+	if m != nil {
+		m.listed, stopping = false, m.Stopping
 		m.unlistedSince = time.Now()
-		if m.Stopping {
+		if stopping {
 			delete(r.members, name)
 		}
 		r.dirty = true
 	}
 	r.mu.Unlock()
+	if m != nil {
+		r.node.log.event("member_unlisted").Str("peer", name).Bool("stopping", stopping).Msg("entry of a node has ended")
+	}
 	r.applyMembership()
 }
 
@@ -96,6 +100,7 @@
 // is unavailable.
 func (r *registry) expire(storeUnavailable bool) {
 	now := time.Now()
+	removed := map[string]time.Duration{} // by node, the time without an entry
 	r.mu.Lock()
 	for name, m := range r.members {
 		if m.listed || storeUnavailable || now.Sub(m.unlistedSince) < lapsedEntryGrace {
@@ -105,12 +110,29 @@
 			continue
 		}
 		delete(r.members, name)
+		removed[name] = now.Sub(m.unlistedSince)
 		r.dirty = true
 	}
 	r.mu.Unlock()
+	for name, unlisted := range removed {
+		r.node.log.event("member_removed").Str("peer", name).Dur("unlisted_for_ms", unlisted).Msg("node has no entry and no contact; removed")
+	}
 	r.applyMembership()
 }
 
+// unlisted returns for how many seconds the members that the store does not list have had no entry.
+func (r *registry) unlisted(now time.Time) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seconds := map[string]float64{}
+	for name, m := range r.members {
+		if !m.listed {
+			seconds[name] = now.Sub(m.unlistedSince).Seconds()
+		}
+	}
+	return seconds
+}
+
 // applyMembership passes membership changes to the picker and the quota shares.
 func (r *registry) applyMembership() {
 	r.mu.Lock()
--- a/sidecar/shares.go
+++ b/sidecar/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/ratelimit"
@@ -88,3 +89,36 @@
 	}
 	return quotas
 }
+
+// logJoin logs what this node waits for before it holds a share, when that changes and every joinLogInterval, and that it
+// has joined.
+func (g *gossip) logJoin(last *joinLog) {
+	now := time.Now()
+	status := g.node.shares.JoinStatus(now)
+	if status.Joined == last.joined && status.Wait == last.wait && (status.Joined || now.Sub(last.at) < joinLogInterval) {
+		return
+	}
+	if last.at.IsZero() {
+		last.startedAt = now
+	}
+	last.joined, last.wait, last.at = status.Joined, status.Wait, now
+	event := g.node.log.event("quota_join").Bool("joined", status.Joined).Int("members", status.Members).Int("contacted", status.Contacted).
+		Int("roster", status.Roster)
+	if status.Joined {
+		event.Dur("took_ms", now.Sub(last.startedAt)).Msg("node holds its share of the rates")
+		return
+	}
+	event.Str("waiting_for", string(status.Wait)).Strs("nodes", status.Nodes).Int("node_count", status.NodeCount).
+		Float64("seconds", status.Seconds).Str("ends_with", status.Ends).Msg("node holds no share yet and refuses requests with a rate")
+}
+
+// joinLogInterval is the time between two log lines of a node that waits for the same.
+const joinLogInterval = time.Second
+
+// joinLog is what logJoin has logged last.
+type joinLog struct {
+	joined    bool
+	wait      ratelimit.JoinWait
+	at        time.Time
+	startedAt time.Time
+}
