--- /dev/null
+++ b/ratelimit/shares_recovery_test.go
@@ -0,0 +1,246 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// recoveryTarget is the time in which operators expect a fleet to serve again after all nodes are back (recoverS), and
+// recoveryShare the share of the requests that it must serve from then on.
+const (
+	recoveryTarget = 15 * time.Second
+	recoveryShare  = 0.25
+)
+
+// Times of the registry: of the lease of an entry, and until the others have removed a node whose entry has ended.
+const (
+	entryLifetime = 9 * time.Second
+	entryRemoval  = 4 * time.Second
+)
+
+// poweredFleet is a fleet whose nodes have all lost power. Its registry may hold entries of their previous processes.
+type poweredFleet struct {
+	*boundFleet
+	// entries holds the end of each entry, or the zero time while it is renewed.
+	entries map[string]time.Time
+	// storeAway is when the store stops to answer, storeBack when it answers again.
+	storeAway, storeBack time.Time
+	// back is when the last node has started.
+	back time.Time
+}
+
+func newPoweredFleet(seed uint64, nodes, domains int) *poweredFleet {
+	f := &poweredFleet{boundFleet: newBoundFleet(seed, nodes, domains, Quota{Rate: 872, Burst: 880}), entries: map[string]time.Time{}}
+	f.latency = 500 * time.Microsecond
+	f.demand = func(int) float64 { return 0.5 * f.quota.Rate / float64(nodes) }
+	return f
+}
+
+func (f *poweredFleet) storeAnswers() bool {
+	return f.storeAway.IsZero() || f.now.Before(f.storeAway) || !f.now.Before(f.storeBack)
+}
+
+// retain keeps the entries of the previous processes of all nodes but these. They end after the given time.
+func (f *poweredFleet) retain(end time.Duration, except ...int) {
+	for _, n := range f.nodes {
+		f.entries[n.Name] = f.now.Add(end)
+	}
+	for _, i := range except {
+		delete(f.entries, f.nodes[i].Name)
+	}
+}
+
+func (f *poweredFleet) listed(name string) bool {
+	end, ok := f.entries[name]
+	return ok && (end.IsZero() || f.now.Before(end))
+}
+
+// powerOn starts a node after a delay.
+func (f *poweredFleet) powerOn(n *boundNode, delay time.Duration) {
+	f.back = later(f.back, f.now.Add(delay))
+	f.after(delay, func() {
+		config := DefaultSharesConfig()
+		config.Process = uint64(f.now.UnixNano())
+		n.shares, n.known, n.loan, n.lastContact, n.lastShare = NewShares(n.Member, config), nil, nil, map[string]time.Time{}, 0
+		s := n.shares
+		f.after(f.upTo(60*time.Millisecond), func() { s.SetWorkspaces(map[string]Quota{"w": f.quota}, f.now) })
+		f.after(10*time.Millisecond+f.upTo(30*time.Millisecond), func() { f.register(n, s) })
+		f.after(f.upTo(20*time.Millisecond), func() { f.round(n, s) })
+		f.after(f.upTo(20*time.Millisecond), func() { f.arrive(n, s) })
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// register writes the entry of a node once the store answers, and then reads those of the others.
+func (f *poweredFleet) register(n *boundNode, s *Shares) {
+	if n.shares != s {
+		return
+	}
+	if !f.storeAnswers() {
+		f.after(250*time.Millisecond, func() { f.register(n, s) })
+		return
+	}
+	f.registerEntry(n, s)
+	f.after(5*time.Millisecond+f.upTo(10*time.Millisecond), func() { f.learn(n, s, true) })
+}
+
+func (f *poweredFleet) registerEntry(n *boundNode, s *Shares) {
+	f.entries[n.Name] = time.Time{}
+}
+
+// learn reads the registry, if the store answers, and what other nodes tell of themselves.
+func (f *poweredFleet) learn(n *boundNode, s *Shares, first bool) {
+	if n.shares != s {
+		return
+	}
+	known := map[string]bool{}
+	for _, m := range n.known {
+		known[m.Name] = true
+	}
+	n.known = nil
+	for _, other := range f.nodes {
+		end, listed := f.entries[other.Name]
+		expired := listed && !end.IsZero() && f.now.Sub(end) >= entryRemoval && f.storeAnswers()
+		read := f.storeAnswers() && f.listed(other.Name)
+		told := !first && other.shares != nil && !f.partitioned(n, other)
+		if other != n && (read || told || known[other.Name] && !expired) {
+			n.known = append(n.known, other.Member)
+		}
+	}
+	s.SetMembers(n.known, f.storeAnswers() || !first)
+	f.after(400*time.Millisecond, func() { f.learn(n, s, false) })
+}
+
+// die ends a node for good. Its entry ends with its lease.
+func (f *poweredFleet) die(n *boundNode) {
+	n.shares = nil
+	f.entries[n.Name] = f.now.Add(entryLifetime)
+}
+
+// recoveryScenarios are the ways in which a fleet comes back after all its nodes have lost power.
+var recoveryScenarios = map[string]func(f *poweredFleet){
+	"all nodes return": func(f *poweredFleet) {
+		f.retain(7 * time.Second)
+		f.powerOnAllBut(200 * time.Millisecond)
+	},
+	// The entry of a node that is gone stays, and those of two others have ended. The first to start miss these two.
+	"dead node listed, others not": func(f *poweredFleet) {
+		f.retain(time.Minute, 30, 31)
+		f.powerOnAllBut(200*time.Millisecond, 7)
+	},
+	"dead node listed, store away after the start": func(f *poweredFleet) {
+		f.storeAway, f.storeBack = f.now.Add(400*time.Millisecond), f.now.Add(time.Minute)
+		f.retain(8*time.Second, 30, 31)
+		f.powerOnAllBut(200*time.Millisecond, 7)
+	},
+	"failure domain gone": func(f *poweredFleet) {
+		f.retain(8*time.Second, 30, 31)
+		f.powerOnAllBut(200*time.Millisecond, 3, 8, 13, 18, 23, 28, 33, 38, 43, 48, 53, 58, 63, 68)
+	},
+	"failure domain partitioned": func(f *poweredFleet) {
+		f.splitDomain, f.healAt = "d3", f.now.Add(time.Minute)
+		f.retain(8*time.Second, 30, 31)
+		f.powerOnAllBut(200*time.Millisecond, 7)
+	},
+	"starts over seconds, dead node listed": func(f *poweredFleet) {
+		f.retain(8*time.Second, 30, 31)
+		f.powerOnAllBut(4*time.Second, 7)
+	},
+	"store back seconds later, entries ended": func(f *poweredFleet) {
+		f.storeAway, f.storeBack = f.now, f.now.Add(3*time.Second)
+		f.retain(2 * time.Second)
+		f.powerOnAllBut(200*time.Millisecond, 7)
+	},
+	// The node with the smallest roster ends after the others have learned of it.
+	"smallest roster lost": func(f *poweredFleet) {
+		f.retain(time.Minute, 30, 31)
+		f.powerOn(f.nodes[12], 0)
+		f.after(100*time.Millisecond, func() { f.powerOnAllBut(200*time.Millisecond, 7, 12) })
+		f.after(800*time.Millisecond, func() { f.die(f.nodes[12]) })
+	},
+	// All entries have ended. The first node to register is gone before it has met the others.
+	"first to register lost, no entries": func(f *poweredFleet) {
+		f.powerOn(f.nodes[12], 0)
+		f.after(60*time.Millisecond, func() { f.die(f.nodes[12]) })
+		f.after(50*time.Millisecond, func() { f.powerOnAllBut(200*time.Millisecond, 12) })
+	},
+	// One node did not lose power. It ends while it tells the others their shares.
+	"holder of shares lost": func(f *poweredFleet) {
+		f.retain(time.Minute)
+		f.powerOnAllBut(50 * time.Millisecond)
+		f.run(8 * time.Second)
+		for _, n := range f.nodes[1:] {
+			n.shares = nil
+			f.entries[n.Name] = f.now.Add(8 * time.Second)
+		}
+		f.back = f.now
+		f.powerOnAllBut(200*time.Millisecond, 0)
+		f.after(350*time.Millisecond, func() { f.die(f.nodes[0]) })
+	},
+}
+
+// powerOnAllBut starts all nodes but these within the given time.
+func (f *poweredFleet) powerOnAllBut(within time.Duration, except ...int) {
+	skip := map[int]bool{}
+	for _, i := range except {
+		skip[i] = true
+	}
+	for i, n := range f.nodes {
+		if !skip[i] && n.shares == nil {
+			f.powerOn(n, f.upTo(within))
+		}
+	}
+}
+
+// served runs the fleet for a while and returns the share of the requests that it admitted.
+func (f *poweredFleet) served(d time.Duration) float64 {
+	f.requests, f.admitted = 0, 0
+	f.run(d)
+	return float64(f.admitted) / float64(max(1, f.requests))
+}
+
+// Guards against a fleet that refuses all requests with a rate after a start of all its nodes, because a node that it
+// waits for does not come back (incident RECOVER).
+func TestRestartedFleetServesWithoutNodesThatAreGone(t *testing.T) {
+	for name, scenario := range recoveryScenarios {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				f := newPoweredFleet(seed, 70, 5)
+				scenario(f)
+				f.run(f.back.Sub(f.now)) // none is back before
+				recovered := time.Duration(-1)
+				for f.now.Sub(f.back) < recoveryTarget {
+					if f.served(500*time.Millisecond) >= 0.9 && recovered < 0 {
+						recovered = f.now.Sub(f.back)
+					}
+				}
+				served := f.served(10 * time.Second)
+				t.Logf("seed %d: serving after %v, %.2f of the requests from %v on, shares up to %.3f, %.1f above the quota; %s", seed,
+					recovered, served, recoveryTarget, f.share, f.excess(), f.joinStatus())
+				must.GreaterEq(t, recoveryShare, served, must.Sprintf("served from %v on", recoveryTarget))
+				must.LessEq(t, 1, f.excess(), must.Sprint("requests above the quota"))
+			}
+		})
+	}
+}
+
+// joinStatus sums up what the nodes wait for.
+func (f *poweredFleet) joinStatus() string {
+	waits := map[string]int{}
+	for _, n := range f.nodes {
+		if n.shares != nil {
+			status := n.shares.JoinStatus(f.now)
+			waits[fmt.Sprintf("%s %v", status.Wait, status.Nodes)]++
+		}
+	}
+	return fmt.Sprint(waits)
+}
