--- a/ratelimit/join.go
+++ b/ratelimit/join.go
@@ -25,6 +25,12 @@
 // if all of these have the same one. Then the nodes that are missing have their even parts, unless one of them has a
 // smaller roster or is an earlier process that has got more. A minority divides nothing before a missing node is back or
 // its registration has lapsed.
+//
+// If rosters differ, a missing node may be one that started first, knew few others and has divided the rates among these.
+// That is ruled out after a loss of all processes from which the registry has recovered nothing: a node whose registration
+// replaces that of its previous process has been listed without a gap, so it is in every roster. If those in contact are
+// more than half of the roster, no other node can divide without a contact with one of them. The smallest roster in
+// contact is then divided after a cycle of exchanges.
 
 // Roster identifies a set of nodes.
 type Roster struct {
@@ -46,6 +52,8 @@
 	membersKnown bool
 	roster       Roster
 	rosterNodes  []Member
+	// registrationSurvived means that the registry has listed this node since before this process started.
+	registrationSurvived bool
 	// workspacesKnown means that workspaces have been set. A node that joined before would take an even share of them.
 	workspacesKnown bool
 	// reported is the share of the previous process by workspace; nil before a node has told it. by is the message that
@@ -183,6 +191,9 @@
 	if j.completeAt.IsZero() {
 		j.completeAt = now
 	}
+	elapsed := now.Sub(j.completeAt)
+	overdue, cycleOver := elapsed >= s.config.JoinTimeout, elapsed >= s.contactTimeout()
+	missing, contacted, surviving := s.rosterContacts()
 	var joined, smaller, lower []string
 	same := true
 	for name, m := range s.members {
@@ -190,7 +201,8 @@
 		case m.joined:
 			joined = append(joined, name)
 		case m.roster.known() && !m.lastContact.IsZero() && m.roster != j.roster:
-			if m.roster.before(j.roster) {
+			lost := surviving && cycleOver && now.Sub(m.lastContact) >= s.contactTimeout()
+			if m.roster.before(j.roster) && !lost {
 				smaller = append(smaller, name)
 			}
 			same = false
@@ -198,14 +210,6 @@
 			lower = append(lower, name)
 		}
 	}
-	missing := s.missing()
-	contacted := len(j.rosterNodes) - len(missing)
-	for _, member := range j.rosterNodes[1:] {
-		if s.members[member.Name] == nil {
-			contacted-- // its registration has lapsed
-		}
-	}
-	overdue := now.Sub(j.completeAt) >= s.config.JoinTimeout
 	switch {
 	case len(joined) > 0:
 		return WaitReport, joined
@@ -213,24 +217,39 @@
 		return WaitSmallerRoster, smaller
 	case len(missing) > 0 && !overdue:
 		return WaitContacts, missing
-	case len(missing) > 0 && !same:
-		return WaitDifferingRosters, missing
 	case len(missing) > 0 && contacted <= len(missing):
 		return WaitMajority, missing
+	case len(missing) > 0 && !same && !surviving:
+		return WaitDifferingRosters, missing
+	case len(missing) > 0 && !same && !cycleOver:
+		return WaitContacts, missing // one of them may have a smaller roster
 	case !overdue && len(lower) > 0:
 		return WaitDivider, lower // assigns their parts to the others
 	}
 	return WaitNone, nil
 }
 
-// missing returns the nodes of the roster that this node has had no contact with and whose registration has not lapsed.
-func (s *Shares) missing() (names []string) {
+// rosterContacts returns the nodes of the roster that this node has had no contact with and whose registration has not
+// lapsed, and the number of those that it has had a contact with, itself included. surviving means that the registrations
+// of more than half of the roster have outlasted the previous processes, by what these nodes tell.
+func (s *Shares) rosterContacts() (missing []string, contacted int, surviving bool) {
+	contacted, survivors := 1, 0
+	if s.joining.registrationSurvived {
+		survivors = 1
+	}
 	for _, member := range s.joining.rosterNodes[1:] {
-		if m := s.members[member.Name]; m != nil && m.lastContact.IsZero() {
-			names = append(names, member.Name)
+		switch m := s.members[member.Name]; {
+		case m == nil: // its registration has lapsed
+		case m.lastContact.IsZero():
+			missing = append(missing, member.Name)
+		default:
+			contacted++
+			if m.registrationSurvived {
+				survivors++
+			}
 		}
 	}
-	return names
+	return missing, contacted, 2*survivors > len(s.joining.rosterNodes)
 }
 
 // divide assigns an even share to each holder of the roster, and takes that of this node. The others get theirs in
--- a/ratelimit/join_status.go
+++ b/ratelimit/join_status.go
@@ -20,13 +20,14 @@
 	WaitReport JoinWait = "report"
 	// WaitNewerReport: as above, a share is reported, but nodes without a contact may know a newer one.
 	WaitNewerReport JoinWait = "newer_report"
-	// WaitContacts: first contacts, for a short time.
+	// WaitContacts: first contacts, for a short time or, if rosters differ, for a cycle of exchanges.
 	WaitContacts JoinWait = "contacts"
 	// WaitMajority: contacts with more than half of the roster.
 	WaitMajority JoinWait = "majority"
 	// WaitSmallerRoster: a node with a smaller roster divides the rates.
 	WaitSmallerRoster JoinWait = "smaller_roster"
-	// WaitDifferingRosters: contacts with all of the roster, as others have a different one.
+	// WaitDifferingRosters: contacts with all of the roster, as others have a different one and a missing node may have
+	// divided the rates among few.
 	WaitDifferingRosters JoinWait = "differing_rosters"
 	// WaitDivider: a node with a lower name divides the rates.
 	WaitDivider JoinWait = "divider"
@@ -38,9 +39,9 @@
 	WaitConfiguration:    "the first configuration, from the store or another node",
 	WaitReport:           "an exchange with one of the nodes, or three cycles of exchanges",
 	WaitNewerReport:      "an exchange with each of the nodes, or one cycle of exchanges",
-	WaitContacts:         "an exchange with each of the nodes, or the join timeout",
+	WaitContacts:         "an exchange with each of the nodes, or the join timeout (a cycle of exchanges if rosters differ)",
 	WaitMajority:         "exchanges with more than half of the roster, or the end of the nodes' registrations",
-	WaitSmallerRoster:    "one of the nodes divides the rates, or its registration ends",
+	WaitSmallerRoster:    "one of the nodes divides the rates, its registration ends, or a cycle without a contact with it",
 	WaitDifferingRosters: "an exchange with each of the nodes, or the end of their registrations",
 	WaitDivider:          "one of the nodes divides the rates, or the join timeout",
 }
--- a/ratelimit/share_messages.go
+++ b/ratelimit/share_messages.go
@@ -44,6 +44,8 @@
 	Process, Sequence uint64
 	// Roster is set while the sender has not joined and is complete.
 	Roster Roster
+	// RegistrationSurvived means that the registry has listed the sender since before its process started.
+	RegistrationSurvived bool
 	// ReportedProcess and ReportedSequence identify the message of the receiver that has told the sender what
 	// ReceiverShare is.
 	ReportedProcess, ReportedSequence uint64
@@ -85,7 +87,7 @@
 		message.ReportedProcess, message.ReportedSequence = m.reported.process, m.reported.sequence
 	}
 	if !s.joined {
-		message.Roster = s.joining.roster
+		message.Roster, message.RegistrationSurvived = s.joining.roster, s.joining.registrationSurvived
 	}
 	transferred := false
 	for name, b := range s.workspaces {
@@ -241,7 +243,7 @@
 	if known {
 		m.newest = id
 	}
-	m.roster = message.Roster
+	m.roster, m.registrationSurvived = message.Roster, message.RegistrationSurvived
 	m.joined, m.complete, m.epoch, m.snapshotFinal, m.snapshotPartial = message.Joined, message.Complete, message.Epoch, message.SnapshotFinal, message.SnapshotPartial
 	m.workspaces = message.Workspaces
 	if message.Joined {
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -116,6 +116,9 @@
 	joined      bool
 	complete    bool
 	roster      Roster
+	// registrationSurvived means that the registry has listed the node since before its process started.
+	registrationSurvived bool
+
 	hasReported bool // has reported its share since this node's start
 	// newest identifies the newest message, and reported the newest one with shares.
 	newest, reported messageID
@@ -213,6 +216,14 @@
 	s.cycleRounds = s.config.rounds(len(others)-remote, remote)
 }
 
+// SetRegistrationSurvived records that the registration of this process has replaced that of a previous one, which had not
+// lapsed. Every node that has read the registry meanwhile knows this one.
+func (s *Shares) SetRegistrationSurvived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.joining.registrationSurvived = true
+}
+
 // rounds returns the number of rounds in which a node exchanges messages with all others. In each pair of nodes
 // only one initiates the exchange.
 func (c *SharesConfig) rounds(local, remote int) int {
--- a/ratelimit/shares_recovery_test.go
+++ b/ratelimit/shares_recovery_test.go
@@ -94,6 +94,9 @@
 }
 
 func (f *poweredFleet) registerEntry(n *boundNode, s *Shares) {
+	if f.listed(n.Name) {
+		s.SetRegistrationSurvived()
+	}
 	f.entries[n.Name] = time.Time{}
 }
 
--- a/sidecar/registry_entry.go
+++ b/sidecar/registry_entry.go
@@ -19,19 +19,24 @@
 	leaseRenewInterval = 2500 * time.Millisecond
 )
 
-// adoptEarlier applies what an earlier process of this node has published about the upstream.
-func (r *registry) adoptEarlier(entry kvstore.Entry) {
+// adoptEarlier applies what an earlier process of this node has published about the upstream, and reports whether the entry
+// is of one.
+func (r *registry) adoptEarlier(entry kvstore.Entry) bool {
 	if entry.Deleted || len(entry.Value) == 0 {
-		return
+		return false
 	}
 	reg, err := decodeRegistration(entry.Value, r.node.settings().Node)
 	if err != nil {
 		r.rejectRegistration("registration_rejected", entry.Key, err)
-		return
+		return false
 	}
-	if d, departed := reg.departure(); departed && reg.Incarnation != r.node.incarnation {
+	if reg.Incarnation == r.node.incarnation {
+		return false
+	}
+	if d, departed := reg.departure(); departed {
 		r.node.adoptDeparture(d, "store")
 	}
+	return true
 }
 
 // checkOwnEntry schedules a write of this node's entry if another writer has changed or deleted it, or if its lease
@@ -147,8 +152,11 @@
 			return readErr
 		}
 		p.revision = entry.Revision
-		p.registry.adoptEarlier(entry)
+		earlier := p.registry.adoptEarlier(entry)
 		revision, err = store.CompareAndSwap(ctx, key, p.revision, value, p.lease)
+		if err == nil && earlier {
+			p.registry.node.shares.SetRegistrationSurvived()
+		}
 	}
 	switch {
 	case err == nil:
--- a/sidecar/shares.go
+++ b/sidecar/shares.go
@@ -30,6 +30,7 @@
 	state.SharesSequence, state.SharesPartial = message.Sequence, message.SnapshotPartial
 	state.SharesReportedIncarnation, state.SharesReportedSequence = message.ReportedProcess, message.ReportedSequence
 	state.SharesRosterSize, state.SharesRosterDigest = message.Roster.Size, message.Roster.Digest
+	state.SharesRegistrationSurvived = message.RegistrationSurvived
 	for _, e := range message.Entries {
 		state.Shares = append(state.Shares, &gossipv1.Share{
 			Workspace: e.Workspace, Demand: float32(e.Demand), Share: float32(e.Share), Given: float32(e.Transfer),
@@ -46,7 +47,7 @@
 		Complete: state.SharesComplete, Assigned: state.SharesAssigned, Workspaces: state.WorkspacesDigest, Entries: make([]ratelimit.ShareEntry, 0, len(state.Shares)),
 		Process: state.Incarnation, Sequence: state.SharesSequence, SnapshotPartial: state.SharesPartial,
 		ReportedProcess: state.SharesReportedIncarnation, ReportedSequence: state.SharesReportedSequence,
-		Roster: ratelimit.Roster{Size: state.SharesRosterSize, Digest: state.SharesRosterDigest},
+		Roster: ratelimit.Roster{Size: state.SharesRosterSize, Digest: state.SharesRosterDigest}, RegistrationSurvived: state.SharesRegistrationSurvived,
 	}
 	for _, e := range state.Shares {
 		entry := ratelimit.ShareEntry{
