--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -82,8 +82,10 @@
 	r.mu.Lock()
 	m, stopping := r.members[name], false
 	if m != nil {
+		if m.listed {
+			m.unlistedSince = time.Now()
+		}
 		m.listed, stopping = false, m.Stopping
-		m.unlistedSince = time.Now()
 		if stopping {
 			delete(r.members, name)
 		}
@@ -120,6 +122,22 @@
 	r.applyMembership()
 }
 
+// removalDue returns the time until the first member without an entry and without a contact is to be removed, and false if
+// there is none.
+func (r *registry) removalDue(now time.Time) (due time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, m := range r.members {
+		if m.listed || r.node.gossip.contactedWithin(name, lapsedEntryGrace) {
+			continue
+		}
+		if left := max(0, lapsedEntryGrace-now.Sub(m.unlistedSince)); !ok || left < due {
+			due, ok = left, true
+		}
+	}
+	return due, ok
+}
+
 // unlisted returns for how many seconds the members that the store does not list have had no entry.
 func (r *registry) unlisted(now time.Time) map[string]float64 {
 	r.mu.Lock()
--- a/sidecar/registry_test.go
+++ b/sidecar/registry_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -77,3 +78,31 @@
 	must.ErrorIs(t, p.step(t.Context()), kvstore.ErrLeaseExpired)
 	must.NoError(t, p.step(t.Context()))
 }
+
+// Guards against a node that is gone but stays a member for as long as no other entry changes: a restarted fleet may wait
+// for it (incident RECOVER).
+func TestLapsedNodeIsRemovedThoughNoEntryChanges(t *testing.T) {
+	store := kvstore.NewMemory(time.Now)
+	n := New(testNode("n0", 1).settings(), Dependencies{Store: store, Configuration: noConfiguration{}}, zerolog.Nop(), 1)
+	n.registry.publish()
+	p := publisher{registry: n.registry}
+	must.NoError(t, p.step(t.Context()))
+	lease, err := store.GrantLease(t.Context(), time.Minute)
+	must.NoError(t, err)
+	_, err = store.CompareAndSwap(t.Context(), registryPrefix+"b", 0, registrationWith(nil), lease)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var following sync.WaitGroup
+	following.Go(func() { n.registry.runWatch(ctx) })
+	defer following.Wait()
+	defer cancel()
+	awaitMembers := func(count int, within time.Duration) {
+		t.Helper()
+		for end := time.Now().Add(within); len(n.registry.others()) != count; time.Sleep(10 * time.Millisecond) {
+			must.True(t, time.Now().Before(end), must.Sprintf("%d members after %v, not %d", len(n.registry.others()), within, count))
+		}
+	}
+	awaitMembers(1, 5*time.Second)
+	must.NoError(t, store.RevokeLease(t.Context(), lease))
+	awaitMembers(0, lapsedEntryGrace+3*time.Second)
+}
--- a/sidecar/registry_watch.go
+++ b/sidecar/registry_watch.go
@@ -49,7 +49,11 @@
 			continue
 		}
 		retry.succeeded()
-		r.pause(ctx, r.watchDelay())
+		delay := r.watchDelay()
+		if due, ok := r.removalDue(time.Now()); ok {
+			delay = min(delay, due)
+		}
+		r.pause(ctx, delay)
 	}
 }
 
@@ -157,7 +161,12 @@
 }
 
 func (r *registry) watch(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	// A removal needs a read after the grace time, whether or not other entries change.
+	timeout := watchTimeout
+	if due, ok := r.removalDue(time.Now()); ok {
+		timeout = min(timeout, due+watchEndMargin)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	events, next, err := r.node.store.Watch(ctx, registryPrefix, after)
 	if errors.Is(err, kvstore.ErrCompacted) {
