--- a/ratelimit/join.go
+++ b/ratelimit/join.go
@@ -185,7 +185,7 @@
 	if !j.membersKnown {
 		return WaitRegistry, nil
 	}
-	if len(s.members) > 0 && !j.workspacesKnown {
+	if !j.workspacesKnown {
 		return WaitConfiguration, nil
 	}
 	if j.completeAt.IsZero() {
--- a/ratelimit/shares_bound_test.go
+++ b/ratelimit/shares_bound_test.go
@@ -220,7 +220,9 @@
 func (f *boundFleet) totalShare() (sum float64) {
 	for _, n := range f.nodes {
 		if n.shares != nil && n.shares.Joined() {
-			sum += n.shares.workspaces["w"].share
+			if b := n.shares.workspaces["w"]; b != nil {
+				sum += b.share
+			}
 		} else {
 			sum += n.lastShare
 		}
--- a/ratelimit/shares_recovery_test.go
+++ b/ratelimit/shares_recovery_test.go
@@ -30,6 +30,8 @@
 	storeAway, storeBack time.Time
 	// back is when the last node has started.
 	back time.Time
+	// unconfigured holds how long nodes take to read the rates, by index, where that is unusual.
+	unconfigured map[int]time.Duration
 }
 
 func newPoweredFleet(seed uint64, nodes, domains int) *poweredFleet {
@@ -66,7 +68,11 @@
 		config.Process = uint64(f.now.UnixNano())
 		n.shares, n.known, n.loan, n.lastContact, n.lastShare = NewShares(n.Member, config), nil, nil, map[string]time.Time{}, 0
 		s := n.shares
-		f.after(f.upTo(60*time.Millisecond), func() { s.SetWorkspaces(map[string]Quota{"w": f.quota}, f.now) })
+		configured, ok := f.unconfigured[n.index]
+		if !ok {
+			configured = f.upTo(60 * time.Millisecond)
+		}
+		f.after(configured, func() { s.SetWorkspaces(map[string]Quota{"w": f.quota}, f.now) })
 		f.after(10*time.Millisecond+f.upTo(30*time.Millisecond), func() { f.register(n, s) })
 		f.after(f.upTo(20*time.Millisecond), func() { f.round(n, s) })
 		f.after(f.upTo(20*time.Millisecond), func() { f.arrive(n, s) })
@@ -176,6 +182,14 @@
 		f.after(60*time.Millisecond, func() { f.die(f.nodes[12]) })
 		f.after(50*time.Millisecond, func() { f.powerOnAllBut(200*time.Millisecond, 12) })
 	},
+	// All entries have ended. The first node to register gets no response to its first read of the rates, and another one
+	// is lost.
+	"first to register without rates, no entries": func(f *poweredFleet) {
+		f.unconfigured = map[int]time.Duration{12: 1100 * time.Millisecond}
+		f.powerOn(f.nodes[12], 0)
+		f.after(60*time.Millisecond, func() { f.powerOnAllBut(200*time.Millisecond, 12) })
+		f.after(2*time.Second, func() { f.die(f.nodes[40]) })
+	},
 	// One node did not lose power. It ends while it tells the others their shares.
 	"holder of shares lost": func(f *poweredFleet) {
 		f.retain(time.Minute)
@@ -247,3 +261,15 @@
 	}
 	return fmt.Sprint(waits)
 }
+
+// Guards against a fleet that gets almost no share because its first node joins before it knows any rate: the others then
+// take what it reports of them, which is nothing.
+func TestFirstNodeWithoutRatesDoesNotJoin(t *testing.T) {
+	s := NewShares(Member{"a", "d"}, DefaultSharesConfig())
+	s.SetMembers(nil, true)
+	must.False(t, s.Reconcile(epoch))
+	must.Eq(t, WaitConfiguration, s.JoinStatus(epoch).Wait)
+	s.SetWorkspaces(map[string]Quota{"w": {Rate: 100, Burst: 100}}, epoch)
+	must.True(t, s.Reconcile(epoch))
+	must.Eq(t, 1, s.Status(epoch)["w"].Share)
+}
