--- a/cmd/cowslipbench/soak.go
+++ b/cmd/cowslipbench/soak.go
@@ -22,6 +22,7 @@
 	Rate     float64       `long:"rate" default:"120" description:"requests per second of all clients"`
 	Binary   string        `long:"binary" default:"bin/cowslip-sidecar" description:"path of cowslip-sidecar"`
 	Dir      string        `long:"dir" default:"results/soak" description:"directory for settings and logs, one for each seed"`
+	Power    bool          `long:"power-loss" description:"all nodes lose power and most come back, in place of other faults"`
 	Verbose  bool          `long:"verbose" description:"print each fault"`
 }
 
@@ -36,7 +37,7 @@
 	for n := 0; n < c.Seeds || time.Now().Before(end); n++ {
 		config := soak.DefaultConfig()
 		config.Seed, config.Length, config.Nodes, config.RequestsPerSecond = c.Seed+uint64(n), c.Length, c.Nodes, c.Rate
-		config.Binary, config.Dir = c.Binary, filepath.Join(c.Dir, fmt.Sprint(config.Seed))
+		config.Binary, config.Dir, config.PowerLoss = c.Binary, filepath.Join(c.Dir, fmt.Sprint(config.Seed)), c.Power
 		if c.Verbose {
 			config.Log = os.Stderr
 		}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -35,7 +35,10 @@
 	incarnation int
 	sigtermSent bool
 	closed      bool
-	exited      chan struct{} // closed when the last process has exited after close
+	// startAt is when the next process may start. gone means that none starts any more.
+	startAt time.Time
+	gone    bool
+	exited  chan struct{} // closed when the last process has exited after close
 }
 
 // settingsTemplate is the settings file in the format of the platform.
@@ -131,7 +134,7 @@
 // supervise starts a process and restarts it whenever it exits, until close.
 func (n *node) supervise() {
 	defer close(n.exited)
-	for {
+	for n.awaitPower() {
 		cmd, err := n.startProcess()
 		if err != nil {
 			n.deployment.logf("failed to start %s: %v", n.name, err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"time"
@@ -35,6 +36,8 @@
 	Defect Defect
 	// Faultless disables fault injection.
 	Faultless bool
+	// PowerLoss replaces the fault schedule by a loss of power at all nodes, of which some do not come back.
+	PowerLoss bool
 	// Log receives a line for each fault, and errors; nil for no log.
 	Log io.Writer
 }
@@ -65,6 +68,8 @@
 	Faults     int
 	Requests   map[int]int
 	Violations []Violation
+	// Recovery is the time from the start of the last node after a loss of power until requests were served again.
+	Recovery time.Duration
 }
 
 // Run runs the schedule of one seed. An error means that the run failed, not that a guarantee was violated.
@@ -90,10 +95,15 @@
 	if config.Defect == DefectStop {
 		d.background.Go(func() { d.stopNodes(ctx) })
 	}
-	faults := 0
-	if config.Faultless {
+	faults, recovery := 0, time.Duration(0)
+	switch {
+	case config.PowerLoss:
+		sleep(ctx, loadTime)
+		back, at := d.losePower(ctx, rand.New(rand.NewPCG(config.Seed, powerStream)))
+		faults, recovery = 1, d.awaitService(ctx, back, at)
+	case config.Faultless:
 		sleep(ctx, config.Length)
-	} else {
+	default:
 		faults = d.injectFaults(ctx)
 	}
 	sleep(ctx, settleTime)
@@ -101,7 +111,7 @@
 		sleep(ctx, restartDelay)
 	}
 	d.clients.stop()
-	report := &Report{Seed: config.Seed, Faults: faults, Requests: d.history.statusCounts()}
+	report := &Report{Seed: config.Seed, Faults: faults, Requests: d.history.statusCounts(), Recovery: recovery}
 	report.Violations = d.history.check(d.bounds)
 	return report, ctx.Err()
 }
@@ -114,6 +124,7 @@
 	stopStream
 	endlessStream
 	malformedStream
+	powerStream
 )
 
 func (c *Config) logPath(node string) string { return filepath.Join(c.Dir, node+".log") }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,6 +46,18 @@
 	must.Positive(t, report.Requests[200], must.Sprint(report.Requests))
 }
 
+// Guards against real nodes that refuse all requests after a loss of power, because some do not come back (incident
+// RECOVER).
+func TestFleetServesAfterPowerLoss(t *testing.T) {
+	config := testConfig(t, 4) // a failure domain does not come back
+	config.Nodes, config.Domains, config.PowerLoss = 9, 3, true
+	report, err := Run(t.Context(), config)
+	must.NoError(t, err)
+	t.Logf("served again after %v: %v", report.Recovery, report.Requests)
+	must.SliceEmpty(t, report.Violations)
+	must.Positive(t, report.Requests[200])
+}
+
 // Runs seeds that have failed before, with the cause.
 func TestSoakRegressions(t *testing.T) {
 	for seed, cause := range map[uint64]string{
--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -80,19 +80,21 @@
 // shutdown is removed immediately.
 func (r *registry) markUnlisted(name string) {
 	r.mu.Lock()
-	m, stopping := r.members[name], false
+	m := r.members[name]
+	ended, stopping := false, false
 	if m != nil {
-		if m.listed {
+		ended, stopping = m.listed, m.Stopping
+		if ended {
 			m.unlistedSince = time.Now()
 		}
-		m.listed, stopping = false, m.Stopping
+		m.listed = false
 		if stopping {
 			delete(r.members, name)
 		}
 		r.dirty = true
 	}
 	r.mu.Unlock()
-	if m != nil {
+	if ended {
 		r.node.log.event("member_unlisted").Str("peer", name).Bool("stopping", stopping).Msg("entry of a node has ended")
 	}
 	r.applyMembership()
