--- a/ratelimit/shares_recovery_test.go
+++ b/ratelimit/shares_recovery_test.go
@@ -250,6 +250,63 @@
 	}
 }
 
+// drawReturn draws a return from a loss of power: which entries have ended, which nodes or failure domain are gone or die soon
+// after, how far the starts are apart, and whether the store is away or a domain partitioned meanwhile. It returns when the
+// store answers and all links work.
+func (f *poweredFleet) drawReturn(domains int) (calm time.Time) {
+	random, nodes := f.random, len(f.nodes)
+	var ended, gone []int
+	domain := random.IntN(3 * domains) // gone if it exists
+	for i := range nodes {
+		if random.IntN(12) == 0 {
+			ended = append(ended, i)
+		}
+		if i%domains == domain || domain >= domains && random.IntN(15) == 0 {
+			gone = append(gone, i)
+		}
+	}
+	if random.IntN(4) == 0 {
+		clear(f.entries)
+	} else {
+		f.retain(2*time.Second+f.upTo(20*time.Second), ended...)
+	}
+	calm = f.now
+	switch random.IntN(4) {
+	case 0:
+		f.storeAway = f.now.Add(f.upTo(time.Second))
+		f.storeBack = f.storeAway.Add(f.upTo(6 * time.Second))
+		calm = f.storeBack
+	case 1:
+		f.splitDomain, f.healAt = fmt.Sprintf("d%d", random.IntN(domains)), f.now.Add(f.upTo(8*time.Second))
+		calm = f.healAt
+	}
+	f.powerOnAllBut(100*time.Millisecond+time.Duration(random.IntN(3))*1500*time.Millisecond, gone...)
+	for range random.IntN(3) {
+		n := f.nodes[random.IntN(nodes)]
+		f.after(f.upTo(1500*time.Millisecond), func() {
+			if n.shares != nil {
+				f.die(n)
+			}
+		})
+	}
+	return calm
+}
+
+// Guards against any return from a loss of power after which the fleet refuses requests within its rate for longer than
+// operators allow, or admits more than its rate.
+func TestRestartedFleetServesInTime(t *testing.T) {
+	for seed := range uint64(40) {
+		nodes, domains := 12+int(seed%3)*14, 3+int(seed%3)
+		f := newPoweredFleet(seed, nodes, domains)
+		calm := later(f.drawReturn(domains), f.back)
+		f.run(calm.Sub(f.now))
+		f.run(recoveryTarget - f.now.Sub(calm))
+		served := f.served(5 * time.Second)
+		must.GreaterEq(t, recoveryShare, served, must.Sprintf("seed %d: served from %v on; %s", seed, recoveryTarget, f.joinStatus()))
+		must.LessEq(t, 1, f.excess(), must.Sprintf("seed %d: requests above the quota", seed))
+	}
+}
+
 // joinStatus sums up what the nodes wait for.
 func (f *poweredFleet) joinStatus() string {
 	waits := map[string]int{}
