--- a/sidecar/operations_test.go
+++ b/sidecar/operations_test.go
@@ -1,13 +1,17 @@
 package sidecar_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/sidecar"
 )
 
 // The tests in this file check that the steps in docs/OPERATIONS.md, section "From the id of a failed
@@ -40,6 +44,31 @@
 	must.SliceNotEmpty(t, f.logs.find(`"event":"attempt_failed"`, "lost-1", `"destination":"n0"`, "connection lost"))
 }
 
+func TestExplainNodeWithoutShare(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(respond))
+	n := f.nodes[0]
+	n.node.Close()
+	for _, gone := range []string{"n8", "n9"} {
+		entry := sidecar.Registration{
+			Node: gone, Incarnation: 1, Sequence: 1, FailureDomain: "d1", PeerAddress: "127.0.0.1:1", ControlAddress: "127.0.0.1:1", Service: "s",
+		}
+		value, err := json.Marshal(entry)
+		must.NoError(t, err)
+		f.put("cowslipglade/nodes/"+gone, string(value))
+	}
+	n.node = f.startProcess(n.settings)
+	f.eventually(func() error { // the wait for contacts is over
+		if _, vars := f.vars(n); !strings.Contains(vars, `"waiting_for":"majority"`) || !strings.Contains(vars, `"nodes":["n8","n9"]`) {
+			return fmt.Errorf("no wait for the missing nodes: %s", vars)
+		}
+		return nil
+	})
+	must.NoError(t, n.node.Heartbeat(n.beat(1, false)))
+	must.Eq(t, http.StatusTooManyRequests, f.send(n, http.MethodGet, "/read/a", "share-1", "key-1", time.Second).status)
+	must.SliceNotEmpty(t, f.logs.find(`"event":"request_refused"`, "share-1", `"code":"rate_exceeded"`, "holds no share", "waiting for majority"))
+	must.SliceNotEmpty(t, f.logs.find(`"event":"quota_join"`, `"joined":false`, `"waiting_for":"majority"`, `"ends_with":`, `"seconds":`))
+}
+
 func TestExplainStaleConfiguration(t *testing.T) {
 	f := startFleet(t, 1, sameHandler(respond))
 	f.store.SetDown(true)
