--- a/ratelimit/join.go
+++ b/ratelimit/join.go
@@ -26,11 +26,11 @@
 // smaller roster or is an earlier process that has got more. A minority divides nothing before a missing node is back or
 // its registration has lapsed.
 //
-// If rosters differ, a missing node may be one that started first, knew few others and has divided the rates among these.
-// That is ruled out after a loss of all processes from which the registry has recovered nothing: a node whose registration
-// replaces that of its previous process has been listed without a gap, so it is in every roster. If those in contact are
-// more than half of the roster, no other node can divide without a contact with one of them. The smallest roster in
-// contact is then divided after a cycle of exchanges.
+// If rosters differ, a missing node may have started first, known few others and divided the rates among these. That cannot
+// be if the registry has kept entries while all processes were gone: a node whose registration replaces that of its previous
+// process was listed without a gap, so every roster has it. If such nodes are in contact and are more than half of the
+// roster, no missing node can have divided without a contact with one of them. The smallest roster in contact is then
+// divided after a cycle of exchanges.
 
 // Roster identifies a set of nodes.
 type Roster struct {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -269,7 +269,8 @@
 		return nil
 	}
 	refusal := call.NewRefusal(call.CodeRateExceeded, call.NotRun, "workspace %s is above this node's share of its rate", workspace)
-	if status := n.shares.JoinStatus(time.Now()); !status.Joined {
+	if !n.shares.Joined() {
+		status := n.shares.JoinStatus(time.Now())
 		refusal.Message = fmt.Sprintf("workspace %s: this node holds no share of its rate; waiting for %s for %.1f s, %d nodes concerned",
 			workspace, status.Wait, status.Seconds, status.NodeCount)
 	}
