--- a/ratelimit/shares_recovery_test.go
+++ b/ratelimit/shares_recovery_test.go
@@ -226,6 +226,7 @@
 func TestRestartedFleetServesWithoutNodesThatAreGone(t *testing.T) {
 	for name, scenario := range recoveryScenarios {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				f := newPoweredFleet(seed, 70, 5)
 				scenario(f)
