--- a/workload/meter.go
+++ b/workload/meter.go
@@ -151,7 +151,7 @@
 	m.running[last] = nil
 	m.running = m.running[:last]
 	c.index = -1
-	ran = now.Sub(c.started)
+	ran = c.age(now)
 	if c.usual > 0 {
 		m.addHazard(c, stepOf(ran.Seconds()/c.usual))
 	}
@@ -167,6 +167,10 @@
 	return ran, usual
 }
 
+// age returns how long the call has run. The time of a report may have been read before that of a call that has started
+// meanwhile.
+func (c *Call) age(now time.Time) time.Duration { return max(now.Sub(c.started), 0) }
+
 // expectable reports whether enough is known to expect when the call ends.
 func (c *Call) expectable() bool {
 	return c.usual > 0 && c.shape != nil && c.shape.samples() >= minShapeSamples
@@ -202,7 +206,7 @@
 		if c.usual <= 0 {
 			continue
 		}
-		ratio := now.Sub(c.started).Seconds() / c.usual
+		ratio := c.age(now).Seconds() / c.usual
 		step, work := stepOf(ratio), 1.0
 		if c.shape != nil && c.shape.samples() > 0 {
 			work = c.shape.remaining(ratio, step)
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -74,6 +74,21 @@
 	must.Less(t, 0.5, stopped)
 }
 
+// A report whose time was read before that of a call that has started meanwhile must neither crash nor end the estimate of the
+// pace.
+func TestReportOlderThanRunningCall(t *testing.T) {
+	f := newMeterFixture(40)
+	f.run(10*time.Second, 1)
+	reported := f.now.Add(2 * paceInterval)
+	f.now = reported.Add(time.Millisecond)
+	call := f.meter.Wait(classA)
+	f.meter.Start(call, f.now)
+	must.Greater(t, 0, f.meter.Report(reported).Left)
+	f.meter.End(call, false, reported)
+	_, slow := f.run(200*time.Millisecond, 0.4)
+	must.Less(t, 0.7, slow)
+}
+
 // The work left must count what waits and runs, and return to 0.
 func TestWorkLeft(t *testing.T) {
 	f := newMeterFixture(40)
