--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -348,6 +348,20 @@
 	must.True(t, h.CloseAnnounced())
 }
 
+// Guards against losing a health response because the upstream closes the connection before the prober takes it.
+func TestHealthResponseBeforeClose(t *testing.T) {
+	address, _ := rawUpstream(t, func(int, int) string { return "close " + reply("", "") })
+	for range 20 {
+		h, err := newDirectClient().OpenHealth(t.Context(), address)
+		must.NoError(t, err)
+		must.NoError(t, h.request("/health"))
+		<-h.Broken()
+		status, _, err := h.response(t.Context())
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, status)
+	}
+}
+
 // Guards against a probe of a silent upstream that delays the end of its node.
 func TestProbeEndsWithContext(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -83,6 +83,13 @@
 
 // Probe requests the path and returns the status and header of the response. After an error the connection is closed.
 func (h *HealthConn) Probe(ctx context.Context, path string) (int, http.Header, error) {
+	if err := h.request(path); err != nil {
+		return 0, nil, err
+	}
+	return h.response(ctx)
+}
+
+func (h *HealthConn) request(path string) error {
 	head := httpconn.Head{Method: http.MethodGet, Target: path, Host: h.address, Header: http.Header{}}
 	err := h.conn.WriteHead(&head)
 	if err == nil {
@@ -90,12 +97,23 @@
 	}
 	if err != nil {
 		h.fail(err)
+		return fmt.Errorf("%w: %w", ErrConnectionLost, err)
 	}
+	return nil
+}
+
+// response waits for the response to the request that was sent. A response that came before the connection broke counts.
+func (h *HealthConn) response(ctx context.Context) (int, http.Header, error) {
 	select {
 	case response := <-h.responses:
 		return response.Status, response.Header, nil
 	case <-h.broken:
-		return 0, nil, fmt.Errorf("%w: %w", ErrConnectionLost, h.err)
+		select {
+		case response := <-h.responses:
+			return response.Status, response.Header, nil
+		default:
+			return 0, nil, fmt.Errorf("%w: %w", ErrConnectionLost, h.err)
+		}
 	case <-ctx.Done():
 		h.fail(ctx.Err())
 		return 0, nil, fmt.Errorf("%w: %w", ErrConnectionLost, ctx.Err())
