--- a/internal/soak/power.go
+++ b/internal/soak/power.go
@@ -40,8 +40,16 @@
 	gone := nodes[:1]
 	if random.IntN(2) == 0 {
 		domain := nodes[0].domain
-		slices.SortStableFunc(nodes, func(a, b *node) int { return boolToInt(b.domain == domain) - boolToInt(a.domain == domain) })
-		gone = nodes[:len(nodes)/d.config.Domains]
+		var others []*node
+		gone = nil
+		for _, n := range nodes {
+			if n.domain == domain {
+				gone = append(gone, n)
+			} else {
+				others = append(others, n)
+			}
+		}
+		nodes = slices.Concat(gone, others)
 	}
 	back = nodes[len(gone):]
 	off := minPowerOff + time.Duration(random.Float64()*float64(maxPowerOff-minPowerOff))
@@ -89,13 +97,6 @@
 	return back, now.Add(max(last, storeAway))
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // powerOff kills the process of a node. The next one starts at the given time, or never if it is zero.
 func (n *node) powerOff(start time.Time) {
 	n.mu.Lock()
