--- a/ratelimit/shares_bound_test.go
+++ b/ratelimit/shares_bound_test.go
@@ -481,6 +481,7 @@
 func TestSharesNeverExceedQuota(t *testing.T) {
 	for name, scenario := range boundScenarios {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			worst, share, total := 0.0, 0.0, [3]int{}
 			for seed := range uint64(2) {
 				f := newBoundFleet(seed, 12, 3, Quota{Rate: 218, Burst: 226})
@@ -521,6 +522,7 @@
 
 // Guards against more refusals within the rate, while nodes are missing, than before admissions were held to the quota.
 func TestSharesMissingNodesRefusals(t *testing.T) {
+	t.Parallel()
 	requests, wrongful, excess := 0, 0, 0.0
 	for seed := range uint64(2) {
 		f := missingNodes(seed)
--- a/ratelimit/shares_test.go
+++ b/ratelimit/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,15 +150,13 @@
 
 // maxAdmitted returns the largest number of requests admitted in any window.
 func (f *sharesFleet) maxAdmitted(window time.Duration) int {
-	highest := 0
-	for i := range f.admitted {
-		n := 0
-		for _, at := range f.admitted {
-			if !at.Before(f.admitted[i]) && at.Before(f.admitted[i].Add(window)) {
-				n++
-			}
+	times := slices.SortedFunc(slices.Values(f.admitted), time.Time.Compare)
+	highest, first := 0, 0
+	for i, at := range times {
+		for !at.Before(times[first].Add(window)) {
+			first++
 		}
-		highest = max(highest, n)
+		highest = max(highest, i-first+1)
 	}
 	return highest
 }
--- a/ratelimit/sim_test.go
+++ b/ratelimit/sim_test.go
@@ -337,6 +337,7 @@
 // Checks the rate of wrongful refusals with prepaid tokens, and compares it with equal static shares and
 // with asking an owner on each call. The log is part of the table in docs/decisions/fleet-rate.md.
 func TestWrongfulRefusals(t *testing.T) {
+	t.Parallel()
 	compareTrials(t, []int64{1, 4, 20, 200}, false)
 	compareTrials(t, []int64{1, 4, 20}, true)
 }
