--- a/ratelimit/shares_recovery_test.go
+++ b/ratelimit/shares_recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -230,21 +231,44 @@
 			f := newPoweredFleet(0, 70, 5)
 			scenario(f)
 			f.run(f.back.Sub(f.now)) // none is back before
-			recovered := time.Duration(-1)
+			recovered, waits := time.Duration(-1), map[JoinWait]bool{}
 			for f.now.Sub(f.back) < recoveryTarget {
-				if f.served(500*time.Millisecond) >= 0.9 && recovered < 0 {
+				if f.served(100*time.Millisecond) >= 0.9 && recovered < 0 {
 					recovered = f.now.Sub(f.back)
 				}
+				f.checkWaits(t, waits)
 			}
 			served := f.served(5 * time.Second)
-			t.Logf("serving after %v, %.2f of the requests from %v on, shares up to %.3f, %.1f above the quota; %s",
-				recovered, served, recoveryTarget, f.share, f.excess(), f.joinStatus())
+			t.Logf("serving after %v, %.2f of the requests from %v on, shares up to %.3f, %.1f above the quota; %s; waits %v",
+				recovered, served, recoveryTarget, f.share, f.excess(), f.joinStatus(), slices.Sorted(maps.Keys(waits)))
 			must.GreaterEq(t, recoveryShare, served, must.Sprintf("served from %v on", recoveryTarget))
 			must.LessEq(t, 1, f.excess(), must.Sprint("requests above the quota"))
 		})
 	}
 }
 
+// checkWaits checks that every node without a share tells what it waits for, since when, for which nodes and what ends that, and
+// adds these waits.
+func (f *poweredFleet) checkWaits(t *testing.T, waits map[JoinWait]bool) {
+	for _, n := range f.nodes {
+		if n.shares == nil {
+			continue
+		}
+		status := n.shares.JoinStatus(f.now)
+		if status.Joined {
+			must.Eq(t, WaitNone, status.Wait)
+			continue
+		}
+		waits[status.Wait] = true
+		must.NotEq(t, "", status.Ends, must.Sprintf("what ends %q", status.Wait))
+		started := time.Unix(0, int64(n.shares.config.Process))
+		must.Between(t, 0, status.Seconds, f.now.Sub(started).Seconds(), must.Sprint(status.Wait))
+		if status.Wait != WaitRegistry && status.Wait != WaitConfiguration {
+			must.Positive(t, status.NodeCount, must.Sprint(status.Wait))
+		}
+	}
+}
+
 // drawReturn draws a return from a loss of power: which entries have ended, which nodes or failure domain are gone or die soon
 // after, how far the starts are apart, and whether the store is away or a domain partitioned meanwhile. It returns when the
 // store answers and all links work.
