--- a/review/_kit2/backend.go
+++ b/review/_kit2/backend.go
@@ -27,12 +27,11 @@
 	slots                               int
 	born                                int64
 	rec                                 *record
-	// work is how long a request takes.
-	work func(r *http.Request) time.Duration
 	// respond, if set, handles a request instead of the usual answer.
 	respond func(w http.ResponseWriter, r *http.Request)
 
 	mu       sync.Mutex
+	work     time.Duration // how long a request takes
 	sequence int64
 	leaving  bool
 	gone     bool // sends no heartbeats any more
@@ -50,7 +49,7 @@
 	b := &backend{
 		id: id, service: n.service, zone: n.zone, address: n.app, control: n.control, slots: slots, born: time.Now().UnixMilli(),
 		rec: rec, stopped: make(chan struct{}),
-		work: func(*http.Request) time.Duration { return 20 * time.Millisecond },
+		work: 20 * time.Millisecond,
 	}
 	b.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(listener) }()
@@ -87,6 +86,7 @@
 	}
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, arrival{id, r.URL.Path, at})
+	work := b.work
 	b.mu.Unlock()
 	b.rec.line("backend %s runs %s %s %s timeout %s caller %s tenant %q", b.id, r.Method, r.URL.Path, id, r.Header.Get("Timeout-Ms"),
 		r.Header.Get("Caller-Service"), r.Header.Get("Tenant-Id"))
@@ -95,7 +95,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	time.Sleep(b.work(r))
+	time.Sleep(work)
 	b.answer(w, r, []byte("done "+id+"\n"))
 }
 
@@ -171,6 +171,12 @@
 	return b.send(http.MethodPut, b.message("draining"))
 }
 
+func (b *backend) setWork(work time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work = work
+}
+
 func (b *backend) ran() []arrival {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/_kit2/extra.go
+++ b/review/_kit2/extra.go
@@ -18,7 +18,6 @@
 type rawBackend struct {
 	*backend
 	listener net.Listener
-	work     time.Duration
 	// refuses and repeats decide whether a request is refused, and whether its answer is sent once more, late.
 	refuses, repeats func() bool
 
