--- a/review/_kit2/caller.go
+++ b/review/_kit2/caller.go
@@ -52,7 +52,7 @@
 			return cannotRun, errors.New("a node is not ready")
 		}
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(time.Until(a.startedAt.Add(4 * time.Second)))
 
 	expected, from := "desk", time.Now()
 	if w.trouble {
