--- a/review/_kit2/client.go
+++ b/review/_kit2/client.go
@@ -47,7 +47,12 @@
 }
 
 func (c *client) do(r request) outcome {
-	o := outcome{id: fmt.Sprintf("q%06d", requestSequence.Add(1)), sent: time.Now()}
+	return c.send(fmt.Sprintf("q%06d", requestSequence.Add(1)), r)
+}
+
+// send sends a request with a given id.
+func (c *client) send(id string, r request) outcome {
+	o := outcome{id: id, sent: time.Now()}
 	hr, err := http.NewRequest(r.method, "http://"+c.node.outbound+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		o.err = err
--- a/review/_kit2/node.go
+++ b/review/_kit2/node.go
@@ -48,8 +48,8 @@
 recoverS = 15
 `
 
-// lagonBounds are those of the site lagon-scripts-grown.
-const lagonBounds = `seedLagS = 3
+// grownBounds are those of the site mirrorline-pos-grown.
+const grownBounds = `seedLagS = 3
 reuseAfterS = 2
 contactS = 3
 ackS = 5
@@ -64,7 +64,7 @@
 revokeS = 5
 budgetRatio = 0.2
 budgetWindowS = 10
-budgetSlack = 96
+budgetSlack = 114
 quotaWindowS = 5
 quotaOver = 0.1
 quotaSlack = 20
