--- a/review/_kit2/node.go
+++ b/review/_kit2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -73,17 +74,20 @@
 
 var taken = map[int]bool{}
 
+// The ports of the nodes are below those that the system gives to outgoing connections, and drawn at random, so that scripts
+// which run at the same time rarely meet.
+const firstPort, ports = 15000, 15000
+
 // freePort returns a port that nothing listens on and that was not returned before.
 func freePort() int {
 	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
+		port := firstPort + rand.IntN(ports)
+		if taken[port] {
 			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if !taken[port] {
-			taken[port] = true
+		taken[port] = true
+		if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = l.Close()
 			return port
 		}
 	}
