--- a/review/_kit2/backend.go
+++ b/review/_kit2/backend.go
@@ -103,6 +103,11 @@
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Response-Signature", "signed-by-"+b.id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	b.mu.Lock()
+	if b.leaving {
+		w.Header().Set("Connection", "close")
+	}
+	b.mu.Unlock()
 	_, _ = w.Write(body)
 }
 
@@ -171,6 +176,17 @@
 	return b.send(http.MethodPut, b.message("draining"))
 }
 
+// exit says goodbye, if the backend has not done so, and ends it.
+func (b *backend) exit() {
+	b.mu.Lock()
+	gone := b.gone
+	b.mu.Unlock()
+	if !gone {
+		b.rec.say("%s sends DELETE: answer %d", b.id, b.leave())
+	}
+	b.stop()
+}
+
 func (b *backend) setWork(work time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/_kit2/departure.go
+++ b/review/_kit2/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -67,7 +68,7 @@
 					select {
 					case <-end:
 						return
-					case <-time.After(100 * time.Millisecond):
+					case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
 					}
 					o := cl.do(request{method: "POST", host: "shop.example", path: "/hold/mirror", body: []byte("one heated convex glass"), key: "key-of-garage", timeout: 5 * time.Second})
 					mu.Lock()
@@ -112,10 +113,10 @@
 		time.Sleep(500 * time.Millisecond)
 		w.rec.say("the delayed heartbeat arrives %.1f s late: answer %d", time.Since(acked).Seconds(), leaver.send(http.MethodPut, late))
 	}
-	time.Sleep(time.Until(startedAt.Add(contactS + 6*time.Second)))
+	time.Sleep(time.Until(startedAt.Add(contactS + 3*time.Second)))
 	time.Sleep(time.Until(acked.Add(drainS + 2*time.Second)))
 	w.rec.say("%s has served on for %.1f s and ends", leaver.id, time.Since(acked).Seconds())
-	leaver.stop()
+	leaver.exit()
 	time.Sleep(2 * time.Second)
 	close(end)
 	clients.Wait()
--- a/review/_kit2/extra.go
+++ b/review/_kit2/extra.go
@@ -118,14 +118,15 @@
 // repeatedRefusal: backends refuse a part of the requests, and now and then send an answer once more, late.
 func repeatedRefusal(w *world) (int, error) {
 	const (
-		services = 4
-		timeout  = 5 * time.Second
-		perS     = 25 // for each service
-		forS     = 60
-		refused  = 0.3
-		repeated = 0.03
-		// The backends repeat answers for 5 s of every 6 s.
-		window, period = 5 * time.Second, 6 * time.Second
+		services  = 6
+		disturbed = 3 // of the backends; garble has a share of 0.6
+		timeout   = 5 * time.Second
+		perS      = 20 // for each service
+		forS      = 86
+		refused   = 0.3
+		repeated  = 0.03
+		// Of every period, the disturbed backends refuse for 8.5 s, and repeat answers for 5 s of these.
+		period, refusing, repeating = 12500 * time.Millisecond, 8500 * time.Millisecond, 5 * time.Second
 	)
 	names := []string{"desk"}
 	var routes []route
@@ -140,8 +141,10 @@
 	w.store.put("op/config", configuration("r1", names, routes, []tenant{{"garage", []string{"key-of-garage"}, 0, 500, 500}}))
 	var holdbays []*rawBackend
 	var startedAt time.Time // set before the first request
-	repeats := func() bool {
-		return w.trouble && !startedAt.IsZero() && time.Since(startedAt)%period < window && rand.Float64() < repeated
+	within := func(window time.Duration, share float64) func() bool {
+		return func() bool {
+			return w.trouble && !startedAt.IsZero() && time.Since(startedAt)%period < window && rand.Float64() < share
+		}
 	}
 	desk, err := w.addNode("sidecar-z3-1", "z3", "desk")
 	if err != nil {
@@ -158,8 +161,11 @@
 		}
 		defer b.stop()
 		b.work = 160 * time.Millisecond
-		b.refuses = func() bool { return rand.Float64() < refused }
-		b.repeats = repeats
+		never := func() bool { return false }
+		b.refuses, b.repeats = never, never
+		if i < disturbed {
+			b.refuses, b.repeats = within(refusing, refused), within(repeating, repeated)
+		}
 		holdbays = append(holdbays, b)
 	}
 	for _, n := range w.nodes {
--- a/review/_kit2/oddbeat.go
+++ b/review/_kit2/oddbeat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -61,7 +62,7 @@
 					select {
 					case <-end:
 						return
-					case <-time.After(100 * time.Millisecond):
+					case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
 					}
 					o := cl.do(request{method: "POST", host: "shop.example", path: "/hold/mirror", body: []byte("one heated convex glass"), key: "key-of-garage", timeout: 5 * time.Second})
 					mu.Lock()
@@ -102,7 +103,7 @@
 		break
 	}
 	w.rec.say("%s has served on for %.1f s and ends", leaver.id, time.Since(acked).Seconds())
-	leaver.stop()
+	leaver.exit()
 	time.Sleep(2 * time.Second)
 	close(end)
 	clients.Wait()
--- a/review/_kit2/stops.go
+++ b/review/_kit2/stops.go
@@ -19,7 +19,7 @@
 		usual   = 1200 * time.Millisecond
 		long    = 5600 * time.Millisecond
 		longs   = 8
-		perS    = 50
+		perS    = 21
 		timeout = 12 * time.Second
 	)
 	w.store.put("op/config", configuration("r1", []string{"ratecard", "desk"}, []route{{
@@ -97,7 +97,7 @@
 			clients.Go(func() { send(fmt.Sprintf("usual-%d", i)) })
 		}
 	})
-	time.Sleep(14 * time.Second)
+	time.Sleep(40 * time.Second)
 	for i := range longs {
 		clients.Go(func() { send(fmt.Sprintf("long-%d", i)) })
 		time.Sleep(20 * time.Millisecond)
