httpconn: a status line that HTTP/1.x does not define is malformed

What callers saw: an upstream that sent a status below 100 and then bytes that look like a response with the same request ID had these bytes returned as its answer, with 200. So it was for 101, which no request asks for. Statuses from 600 on and a response of HTTP/0.9, 2.0 or 9.9 were passed on as they came.

Cause: each response below 200 was skipped as an interim one, and net/http's parser accepts any three characters that strconv.Atoi takes ("000", "+20") and any version of the form HTTP/x.y.

Change: ReadResponse returns ErrMalformed for a status outside 100 to 599, for 101, and for a major version other than 1, in interim and final heads. The call then may have run: the client gets 502, or an idempotent request goes to another upstream within the attempts of its route. Interim responses are skipped as before.

Evidence: TestMalformedResponses/status sends 48 such responses through two nodes, to a request that may run once and one that may run twice.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -173,6 +173,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if err := checkHead(response); err != nil {
+		return nil, err
+	}
 	if response.Body == http.NoBody {
 		response.ContentLength = 0 // a response to HEAD declares the length of a body that it does not have
 	}
--- /dev/null
+++ b/sidecar/malformed_response_test.go
@@ -0,0 +1,96 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/internal/responsetest"
+)
+
+const rawBody = "whole answer"
+
+// sendRaw sends a response as it is and closes the connection.
+func sendRaw(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, raw)
+	_ = conn.Close()
+}
+
+// rawHandler sends the responses in turn: the request with ID i gets the response at i.
+func rawHandler(cases []responsetest.Case) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var i int
+		if _, err := fmt.Sscanf(r.Header.Get("Request-Id"), "id-%d", &i); err != nil {
+			panic(err)
+		}
+		sendRaw(w, cases[i].Raw)
+	}
+}
+
+// numberedCases returns the responses of the groups, each for the request with its number.
+func numberedCases(groups ...func(fields, body string) []responsetest.Case) []responsetest.Case {
+	var cases []responsetest.Case
+	for _, group := range groups {
+		for i := range group("", rawBody) {
+			fields := fmt.Sprintf("Request-Id: id-%d\r\nResponse-Signature: signed\r\n", len(cases))
+			cases = append(cases, group(fields, rawBody)[i])
+		}
+	}
+	return cases
+}
+
+// Guards against passing on a malformed response, the bytes that follow it, or the success that a second node makes of it.
+// A request that must not run twice is sent once, and its client is not told that it has not run.
+func TestMalformedResponses(t *testing.T) {
+	for name, group := range map[string]func(fields, body string) []responsetest.Case{
+		"status": responsetest.MalformedStatus,
+	} {
+		t.Run(name, func(t *testing.T) {
+			cases := numberedCases(group)
+			f := startFleet(t, 2, sameHandler(rawHandler(cases)))
+			for i, c := range cases {
+				t.Run(c.Name, func(t *testing.T) {
+					for _, path := range []string{"/open/once/a", "/open/a"} {
+						before := f.totalRequests()
+						got := f.send(f.nodes[i%2], http.MethodPost, path, fmt.Sprintf("id-%d", i), "", 2*time.Second)
+						note := must.Sprintf("%s: %d %q, in response to %q", path, got.status, got.body, c.Raw)
+						must.NoError(t, got.err, note)
+						must.Eq(t, http.StatusBadGateway, got.status, note)
+						must.Eq(t, "", got.header.Get("Response-Signature"), note)
+						sent, allowed := f.totalRequests()-before, 1
+						if path == "/open/a" {
+							allowed = 2 // the attempts of the route
+						}
+						must.Between(t, 1, sent, allowed, note)
+					}
+				})
+			}
+		})
+	}
+}
+
+// Guards against rejecting sound responses together with malformed ones.
+func TestSoundResponses(t *testing.T) {
+	cases := numberedCases(responsetest.Sound)
+	f := startFleet(t, 2, sameHandler(rawHandler(cases)))
+	for i, c := range cases {
+		for entry, n := range f.nodes {
+			for _, path := range []string{"/open/once/a", "/open/a"} {
+				got := f.send(n, http.MethodPost, path, fmt.Sprintf("id-%d", i), "", 2*time.Second)
+				note := must.Sprint(entry, " ", path, " ", c.Name, " ", got)
+				must.NoError(t, got.err, note)
+				must.Eq(t, http.StatusOK, got.status, note)
+				must.Eq(t, "signed", got.header.Get("Response-Signature"), note)
+				must.Eq(t, rawBody, got.body, note)
+			}
+		}
+	}
+}
