httpconn: a response with a blank in a field name is malformed

What callers saw: responses with a line such as "Bad Name: x" were returned with 200. Where the name was "Content-Length " the body ran to the end of the connection, and where it was "Transfer-Encoding " the client got the chunk sizes as a part of the body. A refusal with such a line was believed as well.

Cause: net/http accepts blanks in field names (and no other byte that a name cannot have), keeps such a name as it is and so does not recognize it. Writing a header drops the name silently, so the second node made a sound response of a malformed one.

Change: ReadResponse checks the names of interim and final heads with httpguts of golang.org/x/net, which was an indirect dependency. Control bytes, empty names, lines without a colon and control bytes in values were malformed already; they are in the test.

Blanks in values, folded values and all bytes that a name may have are still accepted (TestSoundResponses).

--- a/internal/httpconn/malformed_test.go
+++ b/internal/httpconn/malformed_test.go
@@ -45,6 +45,11 @@
 	testMalformed(t, responsetest.MalformedStatus(testFields, testBody))
 }
 
+// Guards against ignoring a header line that is not a field, such as one that would frame the body.
+func TestMalformedFields(t *testing.T) {
+	testMalformed(t, responsetest.MalformedFields(testFields, testBody))
+}
+
 // Guards against rejecting sound responses together with malformed ones.
 func TestSoundResponses(t *testing.T) {
 	for _, c := range responsetest.Sound(testFields, testBody) {
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // checkHead returns an error wrapping ErrMalformed if the head of a response, interim or final, violates HTTP/1.x although
@@ -15,5 +17,16 @@
 	if status := response.StatusCode; status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, response.Status)
 	}
+	return checkFields(response.Header)
+}
+
+// checkFields returns an error wrapping ErrMalformed for a field name that is not a token. net/http accepts blanks in
+// names: "Content-Length : 5" is a field that does not frame the body.
+func checkFields(fields http.Header) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
--- a/sidecar/malformed_response_test.go
+++ b/sidecar/malformed_response_test.go
@@ -51,7 +51,7 @@
 // A request that must not run twice is sent once, and its client is not told that it has not run.
 func TestMalformedResponses(t *testing.T) {
 	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus,
+		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields,
 	} {
 		t.Run(name, func(t *testing.T) {
 			cases := numberedCases(group)
