httpconn: a malformed trailer section ends a body with an error

What callers saw: a response in chunks whose trailer section has a line such as "Bad Name: x" was returned as complete, with 200.

Cause: that of the heads: net/http accepts blanks in the names of trailers. It parses them at the end of the body, after the check of the head.

Change: the body of a response in chunks checks the names of its trailers when it ends. If one is malformed, the body ends with an error, as one that is truncated: a buffered response becomes a 502, a streamed one is broken off.

Evidence: TestMalformedResponses/trailers sends 99 such responses through two nodes; 9 reached the client as a success before, none does now. TestMalformedTrailersOfStreamedResponse (192 KiB) got all bytes as a complete 200 before; now its client sees that the response is incomplete. Sound trailers, announced ones too, still pass.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -176,6 +176,7 @@
 	if err := checkHead(response); err != nil {
 		return nil, err
 	}
+	checkTrailers(response)
 	if response.Body == http.NoBody {
 		response.ContentLength = 0 // a response to HEAD declares the length of a body that it does not have
 	}
--- a/internal/httpconn/malformed_test.go
+++ b/internal/httpconn/malformed_test.go
@@ -50,6 +50,11 @@
 	testMalformed(t, responsetest.MalformedFields(testFields, testBody))
 }
 
+// Guards against taking a body for complete whose trailer section is malformed.
+func TestMalformedTrailers(t *testing.T) {
+	testMalformed(t, responsetest.MalformedTrailers(testFields, testBody))
+}
+
 // Guards against rejecting sound responses together with malformed ones.
 func TestSoundResponses(t *testing.T) {
 	for _, c := range responsetest.Sound(testFields, testBody) {
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -1,7 +1,9 @@
 package httpconn
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -30,3 +32,27 @@
 	}
 	return nil
 }
+
+// checkedBody is the body of a response in chunks. It reports malformed trailers in place of the end.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkFields(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
+
+// checkTrailers lets the body of a response report malformed trailers.
+func checkTrailers(response *http.Response) {
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &checkedBody{response.Body, response}
+	}
+}
--- a/sidecar/malformed_response_test.go
+++ b/sidecar/malformed_response_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/responsetest"
 )
 
@@ -52,6 +54,7 @@
 func TestMalformedResponses(t *testing.T) {
 	for name, group := range map[string]func(fields, body string) []responsetest.Case{
 		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields,
+		"trailers": responsetest.MalformedTrailers,
 	} {
 		t.Run(name, func(t *testing.T) {
 			cases := numberedCases(group)
@@ -94,3 +97,16 @@
 		}
 	}
 }
+
+// Guards against ending a streamed response as a complete one when its trailer section is malformed.
+func TestMalformedTrailersOfStreamedResponse(t *testing.T) {
+	body := strings.Repeat("x", 3*call.BufferLimit)
+	cases := responsetest.MalformedTrailers("Request-Id: id-0\r\nResponse-Signature: signed\r\n", body)
+	f := startFleet(t, 2, sameHandler(rawHandler(cases)))
+	for i, n := range f.nodes {
+		for range 4 {
+			got := f.send(n, http.MethodPost, "/open/once/a", "id-0", "", 2*time.Second)
+			must.Error(t, got.err, must.Sprint("entry ", i, ": ", got.status, " with ", len(got.body), " bytes"))
+		}
+	}
+}
