httpconn: a transfer coding in an HTTP/1.0 response is malformed

What callers saw: an HTTP/1.0 response with "Transfer-Encoding: chunked" was returned with 200 and with the chunk sizes in its body.

Cause: net/http removes the field from a response of HTTP/1.0 and ignores it. RFC 9112, section 6.1, calls the framing of such a message faulty, even if it has a length.

Change: the head of a response that begins with "HTTP/1.0 " is read once before the parser, to find the field. As this replaces the reader of the connection, it is closed after such a response; responses of HTTP/1.1 are read as before.

Evidence: TestMalformedResponses/HTTP10 sends 12 such responses through two nodes. All of them reached the client as a success before; none does now. Sound responses of HTTP/1.0 pass, with a length and without.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -169,6 +169,9 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
+	if err := c.checkHTTP10(); err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // the returned Response carries the body
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -183,7 +186,7 @@
 	return &Response{
 		Status: response.StatusCode, Header: response.Header,
 		Body:   io.NopCloser(response.Body), // the original Close reads to the end
-		Length: response.ContentLength, closeAfter: response.Close,
+		Length: response.ContentLength, closeAfter: response.Close || !response.ProtoAtLeast(1, 1),
 	}, nil
 }
 
--- a/internal/httpconn/malformed_test.go
+++ b/internal/httpconn/malformed_test.go
@@ -55,6 +55,11 @@
 	testMalformed(t, responsetest.MalformedTrailers(testFields, testBody))
 }
 
+// Guards against returning chunk sizes as a part of the body.
+func TestChunkedHTTP10(t *testing.T) {
+	testMalformed(t, responsetest.ChunkedHTTP10(testFields, testBody))
+}
+
 // Guards against rejecting sound responses together with malformed ones.
 func TestSoundResponses(t *testing.T) {
 	for _, c := range responsetest.Sound(testFields, testBody) {
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -1,10 +1,13 @@
 package httpconn
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -56,3 +59,22 @@
 		response.Body = &checkedBody{response.Body, response}
 	}
 }
+
+// checkHTTP10 returns an error wrapping ErrMalformed if the next response is one of HTTP/1.0 with a transfer coding, which
+// makes its framing faulty (RFC 9112, section 6.1). net/http removes the field and returns the encoded body, so the head is
+// read here first. As the reader of the connection is replaced, it must not carry another request.
+func (c *Conn) checkHTTP10() error {
+	const version = "HTTP/1.0 "
+	if start, _ := c.reader.Peek(len(version)); string(start) != version {
+		return nil
+	}
+	var read bytes.Buffer
+	head := textproto.NewReader(bufio.NewReader(io.TeeReader(c.reader, &read)))
+	_, _ = head.ReadLine()
+	fields, _ := head.ReadMIMEHeader() // the parser of net/http meets the same errors
+	c.reader = bufio.NewReaderSize(io.MultiReader(&read, c.reader), bufferSize)
+	if len(fields["Transfer-Encoding"]) > 0 {
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
+	}
+	return nil
+}
--- a/sidecar/malformed_response_test.go
+++ b/sidecar/malformed_response_test.go
@@ -54,7 +54,7 @@
 func TestMalformedResponses(t *testing.T) {
 	for name, group := range map[string]func(fields, body string) []responsetest.Case{
 		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields,
-		"trailers": responsetest.MalformedTrailers,
+		"trailers": responsetest.MalformedTrailers, "HTTP10": responsetest.ChunkedHTTP10,
 	} {
 		t.Run(name, func(t *testing.T) {
 			cases := numberedCases(group)
