upstream: an interim response after one to another request is not the answer

What callers saw: a sound answer that followed both a response to another request and an interim response, which is the order of a repeated refusal on a kept connection, was replaced by the interim one if that named the request: by status 103 without a body, of which net/http makes an empty 200. Three interim responses without a name made a 502 of it.

Cause: after a response that is discarded, DirectClient read the next head, not the next final one.

Change: ReadFinal, which skips at most ten interim responses, is exported and used there.

Evidence: TestDirectInterimAfterStrayResponse failed with both sequences before, and passes now.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -279,7 +279,7 @@
 		if err := c.WriteBody(body, length); err != nil {
 			return nil, false, err
 		}
-		response, err = c.readFinal(method)
+		response, err = c.ReadFinal(method)
 		return response, true, err
 	}
 	recorder := &errorRecorder{reader: body}
@@ -291,7 +291,7 @@
 		}
 		written <- err
 	}()
-	response, err = c.readFinal(method)
+	response, err = c.ReadFinal(method)
 	if failed := recorder.err.Load(); failed != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrBody, *failed)
 	}
@@ -309,8 +309,8 @@
 // maxInformational limits the informational responses before a final one; servers send one or two.
 const maxInformational = 10
 
-// readFinal skips informational responses.
-func (c *Conn) readFinal(method string) (*Response, error) {
+// ReadFinal reads the head of the next final response and skips informational ones before it.
+func (c *Conn) ReadFinal(method string) (*Response, error) {
 	for range maxInformational + 1 {
 		response, err := c.ReadResponse(method)
 		if err != nil || response.Status >= http.StatusOK {
--- a/internal/httpconn/malformed_test.go
+++ b/internal/httpconn/malformed_test.go
@@ -21,7 +21,7 @@
 func readText(text string) (*Response, string, error) {
 	limiter := &headLimiter{raw: strings.NewReader(text)}
 	c := &Conn{pool: NewPool(Config{MaxHeadBytes: 64 << 10}), limiter: limiter, reader: bufio.NewReader(limiter)}
-	response, err := c.readFinal(http.MethodPost)
+	response, err := c.ReadFinal(http.MethodPost)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/httpconn/truncated_test.go
+++ b/internal/httpconn/truncated_test.go
@@ -51,7 +51,7 @@
 		read := func(r io.Reader) (string, error) {
 			limiter := &headLimiter{raw: r}
 			c := &Conn{pool: NewPool(Config{MaxHeadBytes: 64 << 10}), limiter: limiter, reader: bufio.NewReader(limiter)}
-			response, err := c.readFinal(test.method)
+			response, err := c.ReadFinal(test.method)
 			if err != nil {
 				return "", err
 			}
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -111,7 +111,7 @@
 		if err = httpResponse.DiscardBody(maxStrayBytes); err != nil {
 			break
 		}
-		httpResponse, err = conn.ReadResponse(req.Method)
+		httpResponse, err = conn.ReadFinal(req.Method)
 	}
 	if err != nil {
 		return nil, err
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// Guards against returning an interim response that names its request as the answer when it follows a response to another
+// request, and against counting it as such a response.
+func TestDirectInterimAfterStrayResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, interim := range map[string]string{
+		"named":   "HTTP/1.1 103 Early Hints\r\nRequest-Id: r2\r\n\r\n",
+		"several": strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawUpstream(t, func(_, request int) string {
+				return map[int]string{1: reply("r1", "one"), 2: refusal + interim + reply("r2", "two")}[request]
+			})
+			d := newDirectClient()
+			defer d.Close()
+			_, err := runDirect(t, d, address, "r1", "", false)
+			must.NoError(t, err)
+			got, err := runDirect(t, d, address, "r2", "", false)
+			must.NoError(t, err)
+			must.Eq(t, "two", got)
+		})
+	}
+}
+
 // Guards against returning any response of a reused connection for a request that none can name.
 func TestDirectRequestWithoutID(t *testing.T) {
 	address, connections := rawUpstream(t, func(int, int) string { return reply("", "x") })
