upstream: a health connection skips interim responses

What callers saw: nothing directly. A health request on a kept connection that was answered with an interim response before the final one counted as an answer with status 100 to 199, and the final response as one without a request, which broke the connection. Nodes that watch the health of cold upstreams doubted a healthy upstream at every request.

Cause: HealthConn read the next head, not the next final one.

Change: it reads with ReadFinal, like the single probe. Malformed heads are errors of both since they are of ReadResponse.

Evidence: TestHealthResponses sends 303 malformed and 26 sound responses to a single probe and to a health connection. With interim responses 12 of 12 sound ones failed on the health connection before; all pass now.

--- a/upstream/health.go
+++ b/upstream/health.go
@@ -42,7 +42,7 @@
 // read receives responses until the connection breaks. It is the only reader of the connection.
 func (h *HealthConn) read() {
 	for {
-		response, err := h.conn.ReadResponse(http.MethodGet)
+		response, err := h.conn.ReadFinal(http.MethodGet)
 		if err == nil {
 			err = response.DiscardBody(maxHealthBytes)
 		}
