httpconn: a reset that a write meets first is reported to the reader too

What callers saw: an upstream that answered a long upload at once, without a length, and reset the connection while the upload was being written had the part that came before the reset returned as a complete 200.

Cause: the kernel reports the error of a connection once, to the system call that comes first. If that is the write of the upload, the read after it returns the end of the stream, and this end completes a response without a length.

Change: connections of httpconn record the error of a write. A read at the end of the stream returns it in place of the end. Each system call that writes is made under a mutex together with its record, so that a read that comes after it can't miss it. EPIPE is not recorded: it follows an end or an error that the reader gets itself, as when the upstream ends its side and then resets. Complete early responses (with a length, in chunks, or ended before a reset) stay complete, and no read waits for a write.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -120,7 +120,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	raw, err := DialContext(&p.dialer)(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
--- a/internal/responsetest/responsetest.go
+++ b/internal/responsetest/responsetest.go
@@ -214,7 +214,7 @@
 	return s
 }
 
-// resetDelay lets the client receive a response before its connection is reset.
+// resetDelay lets the client receive what was sent before its connection is reset.
 const resetDelay = 5 * time.Millisecond
 
 // ResetDuringUpload is a function for StartFunc. It sends the given bytes without reading the request's body, and then
@@ -228,3 +228,44 @@
 		}
 	}
 }
+
+// Early is a response to a long upload that is complete.
+type Early struct {
+	Name  string
+	Serve func(conn net.Conn, r *http.Request)
+}
+
+// EarlyResponses returns complete responses, with the given header lines and body, to a long upload. All but the first are
+// sent before the upload has been read.
+func EarlyResponses(fields, body string) []Early {
+	withoutLength := ok + "\r\n" + fields + "\r\n" + body
+	halfClose := func(conn net.Conn) {
+		_, _ = io.WriteString(conn, withoutLength)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		time.Sleep(resetDelay)
+	}
+	return []Early{
+		{"without length, after the upload", func(conn net.Conn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, withoutLength)
+		}},
+		{"without length, then reading on", func(conn net.Conn, r *http.Request) {
+			halfClose(conn)
+			_, _ = io.Copy(io.Discard, r.Body)
+		}},
+		{"without length, ended before a reset", func(conn net.Conn, _ *http.Request) {
+			halfClose(conn)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}},
+		{"length, then reading on", func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, response(ok, fields, body))
+			_, _ = io.Copy(io.Discard, r.Body)
+		}},
+		{"length, then a reset", ResetDuringUpload(response(ok, fields, body))},
+		{"chunked, then a reset", ResetDuringUpload(chunked(ok, fields, body, ""))},
+	}
+}
