cowslipd: responses of upstreams are checked as in the sidecar

What callers saw: cowslipd returned responses with a blank in a field name or a trailer name, with a status from 600 on, or with a version other than 1.x. "Content-Length " and "Transfer-Encoding " had the effects they had in the sidecar.

Cause: upstream.Client reads responses with http.Transport, which has the parser of net/http, without the checks of httpconn.

Change: httpconn.StrictTransport makes these checks on what http.Transport returns, on the fields of interim responses and on trailers. upstream.Client uses it. Statuses below 200 were errors already, so this check moves there.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 )
 
 // Errors of Client.Run. Each error that Run returns wraps one of them.
@@ -36,19 +37,19 @@
 
 // Client runs calls on one upstream. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport httpconn.StrictTransport
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{transport: &http.Transport{
+	return &Client{transport: httpconn.StrictTransport{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		// With the default of 10 MB per call, one upstream could exhaust the node's memory.
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	}}}
 }
 
 // Close closes idle connections.
@@ -76,14 +77,10 @@
 	}
 	c.setBody(httpRequest, req)
 	setHeader(httpRequest.Header, token, req)
-	httpResponse, err := c.transport.RoundTrip(httpRequest)
+	httpResponse, err := c.transport.RoundTrip(httpRequest) //nolint:bodyclose // the returned Response carries the body
 	if err != nil {
 		return nil, convertError(ctx, err, body)
 	}
-	if httpResponse.StatusCode < http.StatusOK {
-		_ = httpResponse.Body.Close()
-		return nil, fmt.Errorf("%w: answer has status %d", ErrConnectionLost, httpResponse.StatusCode)
-	}
 	response := &call.Response{
 		Status:        httpResponse.StatusCode,
 		Header:        http.Header{},
