cowslipd: a reset during an upload is seen by the reader of the response

What callers saw: cowslipd too returned the part of a response without a length that came before the connection was reset during the upload, as a complete 200.

Cause: the one found in httpconn: the write of http.Transport meets the error of the connection, and its read the end of the stream.

Change: upstream.Client dials with httpconn.DialContext, whose connections report an error to their reader as well.

Evidence: TestClientResetDuringUpload uploads 16 MiB 120 times; 64, 77 and 70 of these were taken for complete in three runs before, none in 10 runs with the race detector now. TestClientEarlyResponses passes before and after.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -43,7 +43,7 @@
 // NewClient returns a client.
 func NewClient() *Client {
 	return &Client{transport: httpconn.StrictTransport{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         httpconn.DialContext(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
