cowslipd: responses of other nodes are checked as in the sidecar

What callers saw: nothing that was reported. A malformed response of another node that carried valid metadata was taken for its answer or, worse, for its refusal that says "not run", after which the call is sent elsewhere. The entry node made a sound response of it, as writing a header drops names that are not tokens.

Cause: peer.Client and the client of control messages read responses with http.Transport alone. Errors in the body of a refusal were ignored.

Change: both use httpconn.StrictTransport, and a refusal whose body breaks off counts as "may have run".

Sound responses pass before and after.

--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
 )
 
@@ -34,7 +35,7 @@
 type Client struct {
 	sender    string
 	keyring   *signature.Keyring
-	transport *http.Transport
+	transport httpconn.StrictTransport
 	now       func() time.Time
 }
 
@@ -44,7 +45,7 @@
 		sender:  sender,
 		keyring: keyring,
 		now:     time.Now,
-		transport: &http.Transport{
+		transport: httpconn.StrictTransport{Transport: &http.Transport{
 			DialContext:         dialer(local).DialContext,
 			MaxIdleConnsPerHost: idleConnectionsPerPeer,
 			IdleConnTimeout:     idleTimeout,
@@ -54,7 +55,7 @@
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			ExpectContinueTimeout:  continueTimeout,
-		},
+		}},
 	}
 }
 
@@ -154,8 +155,11 @@
 	}
 	if m.GetRefusal() != nil {
 		// Read the body to its end so that the connection can be reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(httpResponse.Body, bufferBytes))
+		_, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, bufferBytes))
 		_ = httpResponse.Body.Close()
+		if err != nil {
+			return nil, call.NewRefusal(call.CodePeerFailed, call.MayHaveRun, "refusal of %s broke off: %v", d.Address, err)
+		}
 		return nil, decodeRefusal(m)
 	}
 	response := &call.Response{
--- a/peer/control.go
+++ b/peer/control.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 	"github.com/cowslipglade/cowslipglade/internal/signature"
 )
 
@@ -28,7 +29,7 @@
 		Timeout: controlTimeout,
 		Transport: &signingTransport{
 			keyring: keyring,
-			next: &http.Transport{
+			next: httpconn.StrictTransport{Transport: &http.Transport{
 				DialContext:         dialer(local).DialContext,
 				MaxIdleConnsPerHost: 1,
 				MaxIdleConns:        64, // control calls go to varying peers, so few connections are reused
@@ -36,7 +37,7 @@
 				DisableCompression:  true,
 
 				MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			},
+			}},
 		},
 	}
 }
