kvstore, platform: malformed responses of the store are errors

What callers saw: nothing that was reported.

Cause: http.Transport accepts such heads, and neither client read to the end of a response whose value was complete, where malformed trailers, or a body that is shorter than its length, show.

Change: both use httpconn.StrictTransport and read to the end, within the same limits. An error there means "outcome unknown" after a write and "unavailable" after a read, as for a response that can't be decoded.

Sound responses pass before and after. The status of other responses than 200 counts as before, however their body ends.

--- a/kvstore/etcd.go
+++ b/kvstore/etcd.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 )
 
 // EtcdConfig holds the settings of an Etcd client.
@@ -81,14 +83,14 @@
 	if config.LocalAddress.IsValid() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.LocalAddress, 0))
 	}
-	transport := &http.Transport{
+	transport := httpconn.StrictTransport{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 	// Redirects are not followed: the gateway sends none, and following one could repeat a write.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Etcd{
@@ -263,8 +265,10 @@
 	if err := decodeBounded(response.Body, result, e.config.MaxResponseBytes); err != nil {
 		return kind == write, fmt.Errorf("%w: %w", kind.errorAfterSend(), err)
 	}
-	// The connection is reused only if the response has been read to the end.
-	_, _ = io.CopyN(io.Discard, response.Body, maxErrorBytes)
+	// Only its end shows that a response is complete and its trailers are sound. The connection is reused after it.
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes)); err != nil {
+		return kind == write, fmt.Errorf("%w: end of response: %w", kind.errorAfterSend(), err)
+	}
 	return true, nil
 }
 
