sidecar: a malformed response of another node is not merged

What callers saw: nothing that was reported. State from a response with a malformed head or trailer section was merged, such as shares of a rate or a configuration.

Cause: the gossip client reads responses with http.Transport alone.

Change: it uses httpconn.StrictTransport. The exchange fails and is repeated in a later round, as after a lost response.

Evidence: TestGossipMalformedResponses failed in 31 of 390 cases before and passes now; its 25 sound responses pass before and after.

--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/clock"
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 	"github.com/cowslipglade/cowslipglade/peer"
 	"github.com/cowslipglade/cowslipglade/quarantine"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
@@ -67,10 +68,10 @@
 
 func newGossip(n *Node) *gossip {
 	return &gossip{node: n, peers: map[string]*peerState{}, client: &http.Client{
-		Transport: boundedResponses{&http.Transport{
+		Transport: boundedResponses{httpconn.StrictTransport{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: gossipIdleTimeout, DisableCompression: true,
 			ReadBufferSize: gossipBufferSize, WriteBufferSize: gossipBufferSize, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		}}},
 	}}
 }
 
--- /dev/null
+++ b/sidecar/gossip_malformed_test.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cowslipglade/cowslipglade/internal/responsetest"
+	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
+)
+
+// Guards against merging state from a malformed response of another node.
+func TestGossipMalformedResponses(t *testing.T) {
+	const fields = "Content-Type: application/protobuf\r\n"
+	state, err := proto.Marshal(&gossipv1.State{ConfigurationRevision: 9})
+	must.NoError(t, err)
+	exchange := func(t *testing.T, raw string) (*gossipv1.State, error) {
+		t.Helper()
+		return newGossip(&Node{}).rpcClient(responsetest.Start(t, raw).Address).Exchange(t.Context(), &gossipv1.State{Node: "a"})
+	}
+	for name, group := range map[string]func(fields, body string) []responsetest.Case{
+		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, c := range group(fields, string(state)) {
+				t.Run(c.Name, func(t *testing.T) {
+					got, err := exchange(t, c.Raw)
+					must.Error(t, err, must.Sprint(got))
+				})
+			}
+		})
+	}
+	for _, c := range responsetest.Sound(fields, string(state)) {
+		t.Run("sound/"+c.Name, func(t *testing.T) {
+			got, err := exchange(t, c.Raw)
+			must.NoError(t, err)
+			must.Eq(t, 9, got.ConfigurationRevision)
+		})
+	}
+}
