cowslipctl: a malformed response of a node is an error

What callers saw: nothing that was reported. An operator could be shown a malformed response as the result of a command.

Cause: cowslipctl reads responses with the default transport of net/http.

Change: it uses httpconn.StrictTransport around it.

Evidence: TestMalformedResponses failed in 31 of 390 cases before and passes now; its 25 sound responses pass before and after.

--- a/cmd/cowslipctl/main.go
+++ b/cmd/cowslipctl/main.go
@@ -17,6 +17,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/twitchtv/twirp"
 
+	"github.com/cowslipglade/cowslipglade/internal/httpconn"
 	operatorv1 "github.com/cowslipglade/cowslipglade/rpc/operator/v1"
 )
 
@@ -112,13 +113,15 @@
 	})
 }
 
+var transport = httpconn.StrictTransport{Transport: http.DefaultTransport.(*http.Transport)}
+
 type tokenTransport struct{}
 
 // RoundTrip implements http.RoundTripper.
 func (tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	authorized := r.Clone(r.Context())
 	authorized.Header.Set("Authorization", "Bearer "+global.Token)
-	return http.DefaultTransport.RoundTrip(authorized)
+	return transport.RoundTrip(authorized)
 }
 
 // actor returns the name for the audit trail.
