Tests of malformed responses through cowslipd, and of their repeats

Cause: the client of cowslipd's upstreams had a test of its own, its path through two nodes had not, and no test said that a malformed response to an idempotent request is made up for by another upstream.

Change: eight cases more in TestMalformedResponses of node, TestMalformedResponseIsRepeatedElsewhere of sidecar, and a paragraph in the package documentation of httpconn.

No product code is changed.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -5,6 +5,11 @@
 // checks the age and state of the connection beforehand, and returns it to the pool only after a complete
 // response with no bytes following it. It uses the parser of net/http.
 //
+// Responses decide what callers are told, so a malformed one must not pass for an answer. The parser accepts some: status
+// lines and field names that HTTP/1.x does not define, and the end of a connection whose reset was met by a write. Conn and,
+// for the users of http.Transport, StrictTransport reject these with ErrMalformed; DialContext makes connections that report
+// a reset to their reader.
+//
 // Pool is safe for concurrent use. A Conn belongs to one request at a time.
 package httpconn
 
--- a/node/badinput_test.go
+++ b/node/badinput_test.go
@@ -181,6 +181,14 @@
 		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"},
 		{"cut between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"},
 		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n"},
+		{"zero status and a response", "HTTP/1.1 000 Nonsense\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+		{"high status", "HTTP/1.1 600 Nonsense\r\nContent-Length: 2\r\n\r\nab"},
+		{"other version", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+		{"blank in a field name", "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nab"},
+		{"blank after Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nab"},
+		{"blank after Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+		{"blank in a trailer name", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nBad Name: x\r\n\r\n"},
+		{"blank in an interim field name", "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
 	} {
 		raw.Store(&c.text)
 		for entry := range f.nodes {
--- a/sidecar/malformed_response_test.go
+++ b/sidecar/malformed_response_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// Guards against failing an idempotent request whose first upstream sends a malformed response, and against sending it more
+// often than its route allows.
+func TestMalformedResponseIsRepeatedElsewhere(t *testing.T) {
+	f := startFleet(t, 2, func(node int) http.HandlerFunc {
+		if node == 1 {
+			return respond
+		}
+		return func(w http.ResponseWriter, r *http.Request) {
+			sendRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed\r\nBad Name: x\r\nContent-Length: 1\r\n\r\nx", r.Header.Get("Request-Id")))
+		}
+	})
+	for i := range 20 {
+		before := f.totalRequests()
+		got := f.send(f.nodes[i%2], http.MethodGet, "/open/a", fmt.Sprint("id-", i), "", 2*time.Second)
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+		must.StrContains(t, got.body, "i-1")
+		must.Between(t, 1, f.totalRequests()-before, 2)
+	}
+	must.Positive(t, len(f.nodes[0].upstream.requests()))
+}
+
 // Guards against ending a streamed response as a complete one when its trailer section is malformed.
 func TestMalformedTrailersOfStreamedResponse(t *testing.T) {
 	body := strings.Repeat("x", 3*call.BufferLimit)
