httpconn: a control byte in a reason phrase is malformed

What callers saw: a response whose status line holds a NUL, a DEL or a return in the middle was returned with 200.

Cause: net/http checks the bytes of field values, but not those of the reason phrase. A return there may stand before what another reader takes for a field, and RFC 9112, section 2.2, calls it invalid.

Change: the status line is checked like a field value.

Evidence: three more cases in the status group of all tests of malformed responses. All three reached the client through two nodes before, none does now; an empty reason phrase, or none, is still accepted.

--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -22,6 +22,9 @@
 	if status := response.StatusCode; status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, response.Status)
 	}
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return fmt.Errorf("%w: control byte in the reason phrase %q", ErrMalformed, response.Status)
+	}
 	return checkFields(response.Header)
 }
 
--- a/internal/responsetest/responsetest.go
+++ b/internal/responsetest/responsetest.go
@@ -47,6 +47,9 @@
 			Case{status + " after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + response(line, fields, body) + sound},
 		)
 	}
+	for _, reason := range []string{"OK\x00", "OK\rContent-Length: 1", "\x7f"} {
+		cases = append(cases, Case{fmt.Sprintf("reason %q", reason), response("HTTP/1.1 200 "+reason, fields, body)})
+	}
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9"} {
 		cases = append(cases, Case{version, response(version+" 200 OK", fields, body)})
 	}
