responsetest: name the groups of responses, and split off the servers

Cause: six tests listed the same groups, and one file held the responses and the servers that send them. No case, check or product code is changed.

--- a/cmd/cowslipctl/malformed_test.go
+++ b/cmd/cowslipctl/malformed_test.go
@@ -18,12 +18,10 @@
 	must.NoError(t, err)
 	apply := func(t *testing.T, raw string) (*operatorv1.ApplyResponse, error) {
 		t.Helper()
-		client := operatorv1.NewOperatorProtobufClient("http://"+responsetest.Start(t, raw).Address, &http.Client{Transport: tokenTransport{}})
+		client := operatorv1.NewOperatorProtobufClient("http://"+responsetest.Start(t, raw), &http.Client{Transport: tokenTransport{}})
 		return client.Apply(t.Context(), &operatorv1.ApplyRequest{})
 	}
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
-	} {
+	for name, group := range responsetest.Malformed {
 		t.Run(name, func(t *testing.T) {
 			for _, c := range group(fields, string(body)) {
 				t.Run(c.Name, func(t *testing.T) {
--- a/internal/httpconn/reset_test.go
+++ b/internal/httpconn/reset_test.go
@@ -22,10 +22,10 @@
 // upload sends a long body and returns the response's body. Between the head and the body of the response it waits.
 func upload(t *testing.T, serve func(net.Conn, *http.Request), length int64, wait time.Duration) (string, error) {
 	t.Helper()
-	server := responsetest.StartFunc(t, serve)
+	address := responsetest.StartFunc(t, serve)
 	pool := NewPool(Config{DialTimeout: time.Second, MaxIdleTime: time.Second, MaxHeadBytes: 64 << 10, MaxIdlePerAddress: 1})
 	defer pool.Close()
-	conn, err := pool.Get(context.Background(), server.Address, 0)
+	conn, err := pool.Get(context.Background(), address, 0)
 	must.NoError(t, err)
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(5 * time.Second))
--- a/internal/responsetest/responsetest.go
+++ b/internal/responsetest/responsetest.go
@@ -3,15 +3,8 @@
 package responsetest
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync"
-	"testing"
-	"time"
 )
 
 // Case is a response.
@@ -21,6 +14,12 @@
 	Raw string
 }
 
+// Group returns responses with the given header lines, with their line ends, and the given body.
+type Group func(fields, body string) []Case
+
+// Malformed are the groups of responses that every client rejects.
+var Malformed = map[string]Group{"status": MalformedStatus, "fields": MalformedFields, "trailers": MalformedTrailers}
+
 // response returns a response with a body of known length. fields are header lines with their line ends.
 func response(statusLine, fields, body string) string {
 	return fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, fields, len(body), body)
@@ -161,114 +160,3 @@
 	}
 	return cases
 }
-
-// Server sends responses to the requests on its connections.
-type Server struct {
-	Address string
-
-	mu       sync.Mutex
-	requests int
-}
-
-// Requests returns the number of requests that have been received.
-func (s *Server) Requests() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.requests
-}
-
-// Start runs a server that reads each request completely, sends raw in response and closes the connection.
-func Start(t testing.TB, raw string) *Server {
-	t.Helper()
-	return StartFunc(t, func(conn net.Conn, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(conn, raw)
-	})
-}
-
-// StartFunc runs a server that calls serve with the first request of each connection and closes the connection after it.
-func StartFunc(t testing.TB, serve func(conn net.Conn, r *http.Request)) *Server {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &Server{Address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				s.mu.Lock()
-				s.requests++
-				s.mu.Unlock()
-				serve(conn, r)
-			}()
-		}
-	}()
-	return s
-}
-
-// resetDelay lets the client receive what was sent before its connection is reset.
-const resetDelay = 5 * time.Millisecond
-
-// ResetDuringUpload is a function for StartFunc. It sends the given bytes without reading the request's body, and then
-// resets the connection.
-func ResetDuringUpload(raw string) func(net.Conn, *http.Request) {
-	return func(conn net.Conn, _ *http.Request) {
-		_, _ = io.WriteString(conn, raw)
-		time.Sleep(resetDelay)
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // the close resets the connection
-		}
-	}
-}
-
-// Early is a response to a long upload that is complete.
-type Early struct {
-	Name  string
-	Serve func(conn net.Conn, r *http.Request)
-}
-
-// EarlyResponses returns complete responses, with the given header lines and body, to a long upload. All but the first are
-// sent before the upload has been read.
-func EarlyResponses(fields, body string) []Early {
-	withoutLength := ok + "\r\n" + fields + "\r\n" + body
-	halfClose := func(conn net.Conn) {
-		_, _ = io.WriteString(conn, withoutLength)
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.CloseWrite()
-		}
-		time.Sleep(resetDelay)
-	}
-	return []Early{
-		{"without length, after the upload", func(conn net.Conn, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(conn, withoutLength)
-		}},
-		{"without length, then reading on", func(conn net.Conn, r *http.Request) {
-			halfClose(conn)
-			_, _ = io.Copy(io.Discard, r.Body)
-		}},
-		{"without length, ended before a reset", func(conn net.Conn, _ *http.Request) {
-			halfClose(conn)
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-		}},
-		{"length, then reading on", func(conn net.Conn, r *http.Request) {
-			_, _ = io.WriteString(conn, response(ok, fields, body))
-			_, _ = io.Copy(io.Discard, r.Body)
-		}},
-		{"length, then a reset", ResetDuringUpload(response(ok, fields, body))},
-		{"chunked, then a reset", ResetDuringUpload(chunked(ok, fields, body, ""))},
-	}
-}
--- a/kvstore/etcd_malformed_test.go
+++ b/kvstore/etcd_malformed_test.go
@@ -30,14 +30,12 @@
 // Guards against believing a malformed response of the store: above all, a write must not count as done or as without
 // effect.
 func TestEtcdMalformedResponses(t *testing.T) {
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
-	} {
+	for name, group := range responsetest.Malformed {
 		for kind, call := range etcdCalls {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				for _, c := range group("Content-Type: application/json\r\n", call.body) {
 					t.Run(c.Name, func(t *testing.T) {
-						store := newClient(t, nil, "http://"+responsetest.Start(t, c.Raw).Address)
+						store := newClient(t, nil, "http://"+responsetest.Start(t, c.Raw))
 						must.ErrorIs(t, call.call(t, store), call.failed)
 					})
 				}
@@ -51,7 +49,7 @@
 	for kind, call := range etcdCalls {
 		for _, c := range responsetest.Sound("Content-Type: application/json\r\n", call.body) {
 			t.Run(kind+"/"+c.Name, func(t *testing.T) {
-				store := newClient(t, nil, "http://"+responsetest.Start(t, c.Raw).Address)
+				store := newClient(t, nil, "http://"+responsetest.Start(t, c.Raw))
 				must.NoError(t, call.call(t, store))
 			})
 		}
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,14 +22,9 @@
 
 const testBody = "whole answer"
 
-// malformedGroups are the malformed responses that every client of other nodes rejects.
-var malformedGroups = map[string]func(fields, body string) []responsetest.Case{
-	"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
-}
-
 // testMalformed runs test for each response whose fields are those of a valid response or of a valid refusal that says that
 // the call has not run.
-func testMalformed(t *testing.T, response, refusal string, groups map[string]func(fields, body string) []responsetest.Case, test func(*testing.T, responsetest.Case)) {
+func testMalformed(t *testing.T, response, refusal string, groups map[string]responsetest.Group, test func(*testing.T, responsetest.Case)) {
 	t.Helper()
 	for name, group := range groups {
 		for kind, fields := range map[string]string{"response": response, "refusal": refusal} {
@@ -53,13 +49,11 @@
 // Guards against believing a malformed response of another node: neither its answer nor its statement that the call has not
 // run counts.
 func TestForwardMalformedResponses(t *testing.T) {
-	groups := map[string]func(fields, body string) []responsetest.Case{"HTTP10": responsetest.ChunkedHTTP10}
-	for name, group := range malformedGroups {
-		groups[name] = group
-	}
+	groups := maps.Clone(responsetest.Malformed)
+	groups["HTTP10"] = responsetest.ChunkedHTTP10
 	testMalformed(t, forwarderFields(t, nil), forwarderFields(t, refusalMessage(refusalNotRun)), groups, func(t *testing.T, c responsetest.Case) {
 		for _, idempotent := range []bool{true, false} {
-			server := responsetest.StartFunc(t, func(conn net.Conn, r *http.Request) {
+			address := responsetest.StartFunc(t, func(conn net.Conn, r *http.Request) {
 				if !idempotent {
 					_, _ = io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\n")
 				}
@@ -67,7 +61,7 @@
 				_, _ = io.WriteString(conn, c.Raw)
 			})
 			f := NewForwarder("n1")
-			_, err := f.Forward(t.Context(), Destination{Address: server.Address}, forwardRequest(idempotent, "x"), Wait{Contact: time.Second, Slot: time.Second})
+			_, err := f.Forward(t.Context(), Destination{Address: address}, forwardRequest(idempotent, "x"), Wait{Contact: time.Second, Slot: time.Second})
 			f.Close()
 			must.Error(t, err)
 			must.Eq(t, call.CodePeerFailed, call.AsRefusal(err).Code)
@@ -82,7 +76,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			f := NewForwarder("n1")
 			defer f.Close()
-			response, err := f.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw).Address}, forwardRequest(true, "x"),
+			response, err := f.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw)}, forwardRequest(true, "x"),
 				Wait{Contact: time.Second, Slot: time.Second})
 			must.NoError(t, err)
 			data, err := io.ReadAll(response.Body)
@@ -102,10 +96,10 @@
 // Guards against believing a malformed response between nodes of cowslipd.
 func TestClientMalformedResponses(t *testing.T) {
 	keyring := signature.NewKeyring([]string{"key"})
-	testMalformed(t, clientFields(t, keyring, nil), clientFields(t, keyring, refusalNotRun), malformedGroups, func(t *testing.T, c responsetest.Case) {
+	testMalformed(t, clientFields(t, keyring, nil), clientFields(t, keyring, refusalNotRun), responsetest.Malformed, func(t *testing.T, c responsetest.Case) {
 		client := NewClient("n1", netip.MustParseAddr("127.0.0.1"), keyring)
 		defer client.Close()
-		_, err := client.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw).Address}, testRequest())
+		_, err := client.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw)}, testRequest())
 		must.Error(t, err)
 		must.Eq(t, call.CodePeerFailed, call.AsRefusal(err).Code)
 		must.Eq(t, call.MayHaveRun, call.AsRefusal(err).Outcome)
@@ -119,7 +113,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			client := NewClient("n1", netip.MustParseAddr("127.0.0.1"), keyring)
 			defer client.Close()
-			response, err := client.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw).Address}, testRequest())
+			response, err := client.Forward(t.Context(), Destination{Address: responsetest.Start(t, c.Raw)}, testRequest())
 			must.NoError(t, err)
 			data, err := io.ReadAll(response.Body)
 			must.NoError(t, err)
@@ -133,7 +127,7 @@
 	t.Helper()
 	control := NewControlClient(netip.MustParseAddr("127.0.0.1"), keyring)
 	defer control.CloseIdleConnections()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+responsetest.Start(t, raw).Address+"/a", bytes.NewReader([]byte("x")))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+responsetest.Start(t, raw)+"/a", bytes.NewReader([]byte("x")))
 	must.NoError(t, err)
 	response, err := control.Do(request)
 	if err != nil {
@@ -148,7 +142,7 @@
 func TestControlMalformedResponses(t *testing.T) {
 	keyring := signature.NewKeyring([]string{"key"})
 	fields := headerSignature + ": " + keyring.Sign(labelControlResponse, []byte("/a"), []byte(testBody)) + "\r\n"
-	for name, group := range malformedGroups {
+	for name, group := range responsetest.Malformed {
 		t.Run(name, func(t *testing.T) {
 			for _, c := range group(fields, testBody) {
 				t.Run(c.Name, func(t *testing.T) {
--- a/sidecar/gossip_malformed_test.go
+++ b/sidecar/gossip_malformed_test.go
@@ -17,11 +17,9 @@
 	must.NoError(t, err)
 	exchange := func(t *testing.T, raw string) (*gossipv1.State, error) {
 		t.Helper()
-		return newGossip(&Node{}).rpcClient(responsetest.Start(t, raw).Address).Exchange(t.Context(), &gossipv1.State{Node: "a"})
+		return newGossip(&Node{}).rpcClient(responsetest.Start(t, raw)).Exchange(t.Context(), &gossipv1.State{Node: "a"})
 	}
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
-	} {
+	for name, group := range responsetest.Malformed {
 		t.Run(name, func(t *testing.T) {
 			for _, c := range group(fields, string(state)) {
 				t.Run(c.Name, func(t *testing.T) {
--- a/sidecar/malformed_response_test.go
+++ b/sidecar/malformed_response_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -37,14 +38,11 @@
 	}
 }
 
-// numberedCases returns the responses of the groups, each for the request with its number.
-func numberedCases(groups ...func(fields, body string) []responsetest.Case) []responsetest.Case {
-	var cases []responsetest.Case
-	for _, group := range groups {
-		for i := range group("", rawBody) {
-			fields := fmt.Sprintf("Request-Id: id-%d\r\nResponse-Signature: signed\r\n", len(cases))
-			cases = append(cases, group(fields, rawBody)[i])
-		}
+// numberedCases returns the responses of a group, each for the request with its number.
+func numberedCases(group responsetest.Group) []responsetest.Case {
+	cases := group("", rawBody)
+	for i := range cases {
+		cases[i] = group(fmt.Sprintf("Request-Id: id-%d\r\nResponse-Signature: signed\r\n", i), rawBody)[i]
 	}
 	return cases
 }
@@ -52,10 +50,9 @@
 // Guards against passing on a malformed response, the bytes that follow it, or the success that a second node makes of it.
 // A request that must not run twice is sent once, and its client is not told that it has not run.
 func TestMalformedResponses(t *testing.T) {
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields,
-		"trailers": responsetest.MalformedTrailers, "HTTP10": responsetest.ChunkedHTTP10,
-	} {
+	groups := maps.Clone(responsetest.Malformed)
+	groups["HTTP10"] = responsetest.ChunkedHTTP10
+	for name, group := range groups {
 		t.Run(name, func(t *testing.T) {
 			cases := numberedCases(group)
 			f := startFleet(t, 2, sameHandler(rawHandler(cases)))
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -20,17 +20,17 @@
 	// probe returns the results of a single probe and of a health connection.
 	probe := func(t *testing.T, raw string) (statuses [2]int, errs [2]error) {
 		t.Helper()
-		server := responsetest.Start(t, raw)
+		address := responsetest.Start(t, raw)
 		d := newDirectClient()
 		defer d.Close()
-		statuses[0], _, errs[0] = d.Probe(t.Context(), server.Address, "/health")
-		h, err := d.OpenHealth(t.Context(), server.Address)
+		statuses[0], _, errs[0] = d.Probe(t.Context(), address, "/health")
+		h, err := d.OpenHealth(t.Context(), address)
 		must.NoError(t, err)
 		defer h.Close()
 		statuses[1], _, errs[1] = h.Probe(t.Context(), "/health")
 		return statuses, errs
 	}
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
+	for name, group := range map[string]responsetest.Group{
 		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "HTTP10": responsetest.ChunkedHTTP10,
 	} {
 		for _, c := range group(fields, "healthy") {
@@ -70,9 +70,7 @@
 
 // Guards against passing on a malformed response or the bytes that follow it.
 func TestClientMalformedResponses(t *testing.T) {
-	for name, group := range map[string]func(fields, body string) []responsetest.Case{
-		"status": responsetest.MalformedStatus, "fields": responsetest.MalformedFields, "trailers": responsetest.MalformedTrailers,
-	} {
+	for name, group := range responsetest.Malformed {
 		t.Run(name, func(t *testing.T) { testClientMalformed(t, group("A: b\r\n", "whole answer")) })
 	}
 }
@@ -86,7 +84,7 @@
 	t.Helper()
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			response, body, err := runClient(t, responsetest.Start(t, c.Raw).Address, nil, 0)
+			response, body, err := runClient(t, responsetest.Start(t, c.Raw), nil, 0)
 			must.Error(t, err, must.Sprintf("%q is returned as %+v with the body %q", c.Raw, response, body))
 			must.False(t, errors.Is(err, ErrNotConnected), must.Sprint("the call may have run"))
 		})
@@ -97,7 +95,7 @@
 func TestClientSoundResponses(t *testing.T) {
 	for _, c := range responsetest.Sound("A: b\r\n", "whole answer") {
 		t.Run(c.Name, func(t *testing.T) {
-			response, body, err := runClient(t, responsetest.Start(t, c.Raw).Address, nil, 0)
+			response, body, err := runClient(t, responsetest.Start(t, c.Raw), nil, 0)
 			must.NoError(t, err)
 			must.Eq(t, http.StatusOK, response.Status)
 			must.Eq(t, "whole answer", body)
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -17,8 +17,8 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			raw := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("a", size)
 			for range 40 {
-				server := responsetest.StartFunc(t, responsetest.ResetDuringUpload(raw))
-				_, body, err := runClient(t, server.Address, bytes.NewReader(make([]byte, uploadBytes)), uploadBytes)
+				address := responsetest.StartFunc(t, responsetest.ResetDuringUpload(raw))
+				_, body, err := runClient(t, address, bytes.NewReader(make([]byte, uploadBytes)), uploadBytes)
 				must.Error(t, err, must.Sprint(len(body), " bytes taken for the complete body"))
 			}
 		})
@@ -32,9 +32,9 @@
 	body := strings.Repeat("a", 20000)
 	for _, early := range responsetest.EarlyResponses("A: b\r\n", body) {
 		t.Run(early.Name, func(t *testing.T) {
-			server := responsetest.StartFunc(t, early.Serve)
+			address := responsetest.StartFunc(t, early.Serve)
 			for range 5 {
-				_, got, err := runClient(t, server.Address, bytes.NewReader(make([]byte, uploadBytes)), uploadBytes)
+				_, got, err := runClient(t, address, bytes.NewReader(make([]byte, uploadBytes)), uploadBytes)
 				must.NoError(t, err)
 				must.Eq(t, body, got)
 			}
