httpconn: comments on errors of a write, and on the reader after HTTP/1.0

Cause: read as a newcomer, two comments did not say why EPIPE is left out and what forbids the reuse. Change: comments only.

--- a/internal/httpconn/socket.go
+++ b/internal/httpconn/socket.go
@@ -18,7 +18,8 @@
 	net.Conn
 	raw syscall.RawConn
 
-	mu     sync.Mutex // held during each system call that writes, so that a read at the end sees its error
+	// mu is held during each system call that writes, so that a read at the end of the stream can't miss its error.
+	mu     sync.Mutex
 	failed error
 }
 
@@ -93,8 +94,8 @@
 	return written, err
 }
 
-// writeOnce makes one system call and records the error that it takes from the connection. EPIPE is none: it means that
-// the connection had ended before, and that the reader gets this end in its order.
+// writeOnce makes one system call and records an error of the connection. EPIPE is not one: a write gets it after the peer
+// has ended the stream, or after a read has returned the error, and in both cases the reader sees the right end by itself.
 func (s *socket) writeOnce(fd uintptr, p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -65,7 +65,7 @@
 
 // checkHTTP10 returns an error wrapping ErrMalformed if the next response is one of HTTP/1.0 with a transfer coding, which
 // makes its framing faulty (RFC 9112, section 6.1). net/http removes the field and returns the encoded body, so the head is
-// read here first. As the reader of the connection is replaced, it must not carry another request.
+// read here first. The connection must not be reused after it, because its reader is replaced.
 func (c *Conn) checkHTTP10() error {
 	const version = "HTTP/1.0 "
 	if start, _ := c.reader.Peek(len(version)); string(start) != version {
