--- a/internal/responsetest/server.go
+++ b/internal/responsetest/server.go
@@ -78,25 +78,25 @@
 		time.Sleep(resetDelay)
 	}
 	return []Early{
-		{"without length, after the upload", func(conn net.Conn, r *http.Request) {
+		{"without length after the upload", func(conn net.Conn, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(conn, withoutLength)
 		}},
-		{"without length, then reading on", func(conn net.Conn, r *http.Request) {
+		{"without length then reading on", func(conn net.Conn, r *http.Request) {
 			endResponse(conn)
 			_, _ = io.Copy(io.Discard, r.Body)
 		}},
-		{"without length, ended before a reset", func(conn net.Conn, _ *http.Request) {
+		{"without length ended before a reset", func(conn net.Conn, _ *http.Request) {
 			endResponse(conn)
 			if tcp, ok := conn.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
 			}
 		}},
-		{"length, then reading on", func(conn net.Conn, r *http.Request) {
+		{"length then reading on", func(conn net.Conn, r *http.Request) {
 			_, _ = io.WriteString(conn, response(ok, fields, body))
 			_, _ = io.Copy(io.Discard, r.Body)
 		}},
-		{"length, then a reset", ResetDuringUpload(response(ok, fields, body))},
-		{"chunked, then a reset", ResetDuringUpload(chunked(ok, fields, body, ""))},
+		{"length then a reset", ResetDuringUpload(response(ok, fields, body))},
+		{"chunked then a reset", ResetDuringUpload(chunked(ok, fields, body, ""))},
 	}
 }
