upstream: send a request again on a connection that has not carried it

Cause: an upstream that repeats a refusal sends it where the next response is expected. The next attempt of the same request took the connection that was used last, and the copy bears its request's ID, so it passed for the response to that attempt, which the upstream ran.

Change: a connection remembers the requests that may be sent again (not run, or status 400 and above) until their deadline. Pool.GetFor passes over it for these. A copy comes only on the connection of its own attempt, where other requests discard it by its ID.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -39,6 +39,9 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	closed      atomic.Bool
+	// attempts are the requests that must not be sent on this connection again. forgetful means that there are others.
+	attempts  attempts
+	forgetful bool
 	// detach removes the function that CloseAfter has registered; nil if there is none.
 	detach func() bool
 }
@@ -197,15 +200,16 @@
 func (c *Conn) CloseAfter(ctx context.Context) { c.detach = context.AfterFunc(ctx, c.Close) }
 
 // Release returns the connection to the pool after a complete response. It closes the connection instead if
-// the server has sent further bytes, which belong to no request, or has announced the close, or if the context of
-// CloseAfter has ended: its close may follow at any time and must not abort a later request.
+// the server has sent further bytes, which belong to no request, or has announced the close, if it has carried more
+// requests than it can remember, or if the context of CloseAfter has ended: its close may follow at any time and must not
+// abort a later request.
 func (c *Conn) Release(response *Response) {
 	if c.closed.Load() {
 		return
 	}
 	attached := c.detach != nil && !c.detach()
 	c.detach = nil
-	if attached || response.closeAfter || c.reader.Buffered() > 0 {
+	if attached || response.closeAfter || c.forgetful || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -5,6 +5,10 @@
 // checks the age and state of the connection beforehand, and returns it to the pool only after a complete
 // response with no bytes following it. It uses the parser of net/http.
 //
+// A server may send a response once more, late. The ID of its request tells it from the response to another request, but not
+// from the response to a later attempt of the same one. So a later attempt goes over another connection: Conn.Remember,
+// Pool.GetFor.
+//
 // Responses decide what callers are told, so a malformed one must not pass for an answer. The parser accepts some: status
 // lines and field names that HTTP/1.x does not define, and the end of a connection whose reset was met by a write. Conn and,
 // for the users of http.Transport, StrictTransport reject these with ErrMalformed; DialContext makes connections that report
@@ -19,7 +23,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +70,8 @@
 	idle   map[string][]*Conn
 	opened int64
 	closed bool
+
+	avoided atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -91,8 +99,28 @@
 // Get returns a connection to an address. It prefers the most recently used connection if that has been idle
 // for less than maxIdleTime; a maxIdleTime of 0 always opens a new one. The error wraps ErrDial.
 func (p *Pool) Get(ctx context.Context, address string, maxIdleTime time.Duration) (*Conn, error) {
+	return p.get(ctx, address, maxIdleTime, func(*Conn) bool { return true })
+}
+
+// GetFor is like Get for an attempt of a request. It returns no connection that remembers an earlier attempt of it.
+func (p *Pool) GetFor(ctx context.Context, address string, maxIdleTime time.Duration, requestID string) (*Conn, error) {
+	now := time.Now()
+	avoided := false
+	c, err := p.get(ctx, address, maxIdleTime, func(c *Conn) bool {
+		fit := !c.attempts.contains(requestID, now)
+		avoided = avoided || !fit
+		return fit
+	})
+	if avoided {
+		p.avoided.Add(1)
+	}
+	return c, err
+}
+
+// get returns the most recently used connection that is fit, or a new one. fit is called with the lock held.
+func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration, fit func(*Conn) bool) (*Conn, error) {
 	for {
-		c := p.takeIdle(address, min(maxIdleTime, p.config.MaxIdleTime))
+		c := p.takeIdle(address, min(maxIdleTime, p.config.MaxIdleTime), fit)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -107,21 +135,22 @@
 	}
 }
 
-func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *Conn {
+func (p *Pool) takeIdle(address string, maxIdleTime time.Duration, fit func(*Conn) bool) *Conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	if now.Sub(last.idleSince) >= min(maxIdleTime, last.idleTimeout) {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !fit(c) {
+			continue
+		}
+		if now.Sub(c.idleSince) >= min(maxIdleTime, c.idleTimeout) {
+			return nil
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
@@ -148,6 +177,9 @@
 	return p.opened
 }
 
+// Avoided returns how often GetFor has passed over an idle connection.
+func (p *Pool) Avoided() int64 { return p.avoided.Load() }
+
 // Sweep closes connections that have exceeded their idle timeout. It should be called periodically.
 func (p *Pool) Sweep() {
 	now := time.Now()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -123,6 +123,7 @@
 	m.vars.Set("upstream_latency", expvar.Func(m.upstreamLatency.summary))
 	m.vars.Set("queue_delay", expvar.Func(m.queueDelay.summary))
 	m.vars.Set("upstream_connections_opened_total", expvar.Func(func() any { return n.upstreams.Opened() }))
+	m.vars.Set("upstream_connections_avoided_total", expvar.Func(func() any { return n.upstreams.Avoided() }))
 	m.vars.Set("configuration_revision", expvar.Func(func() any { return n.configuration.revision() }))
 	m.vars.Set("configuration_age_seconds", expvar.Func(func() any {
 		age, ok := n.configuration.age()
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -152,8 +152,9 @@
 	}
 	n.currentSettings.Store(settings)
 	n.maxCalls = intake.Calls(settings.Descriptors)
-	n.upstreams = upstream.NewDirectClient(func(response http.Header) string {
-		return n.headers.ReadResponse(response).RequestID
+	n.upstreams = upstream.NewDirectClient(func(response http.Header) (string, bool) {
+		fields := n.headers.ReadResponse(response)
+		return fields.RequestID, fields.NotRun
 	}, func(address string) {
 		if address == n.settings().UpstreamAddress {
 			n.local.doubt("idle_connection_closed")
--- a/upstream/direct.go
+++ b/upstream/direct.go
@@ -38,15 +38,18 @@
 // DirectClient runs calls on upstreams that speak plain HTTP/1.1, one call at a time per connection. It sends
 // each call at most once. It is safe for concurrent use.
 type DirectClient struct {
-	pool      *httpconn.Pool
-	requestID func(http.Header) string
+	pool *httpconn.Pool
+	read ReadHeader
 }
 
-// NewDirectClient returns a client. requestID returns the ID of the request that a response with the given header
-// names, or an empty string. onBroken, if not nil, is called with the address of an upstream that has closed an idle
+// ReadHeader returns the ID of the request that a response with the given header names, or an empty string, and whether
+// the response tells that the request has not run.
+type ReadHeader func(http.Header) (requestID string, notRun bool)
+
+// NewDirectClient returns a client. onBroken, if not nil, is called with the address of an upstream that has closed an idle
 // connection; it may have restarted.
-func NewDirectClient(requestID func(http.Header) string, onBroken func(address string)) *DirectClient {
-	return &DirectClient{requestID: requestID, pool: httpconn.NewPool(httpconn.Config{
+func NewDirectClient(read ReadHeader, onBroken func(address string)) *DirectClient {
+	return &DirectClient{read: read, pool: httpconn.NewPool(httpconn.Config{
 		OnBroken:          onBroken,
 		DialTimeout:       directDialTimeout,
 		MaxIdleTime:       directMaxIdleTime,
@@ -58,6 +61,9 @@
 // Opened returns the number of connections opened so far.
 func (d *DirectClient) Opened() int64 { return d.pool.Opened() }
 
+// Avoided returns how often an idle connection was not used since it had carried an earlier attempt of the request.
+func (d *DirectClient) Avoided() int64 { return d.pool.Avoided() }
+
 // Sweep closes connections that have exceeded their idle timeout.
 func (d *DirectClient) Sweep() { d.pool.Sweep() }
 
@@ -77,7 +83,7 @@
 	if req.RequestID == "" {
 		maxIdleTime = 0 // on a reused connection, its response could not be told from another
 	}
-	conn, err := d.pool.Get(ctx, address, maxIdleTime)
+	conn, err := d.pool.GetFor(ctx, address, maxIdleTime, req.RequestID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
@@ -125,6 +131,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrMalformedResponse, err)
 	}
 	if response.Buffered {
+		if d.mayBeResent(response) {
+			conn.Remember(req.RequestID, req.Deadline.Add(deadlineGrace))
+		}
 		if sent {
 			conn.Release(httpResponse)
 		} else {
@@ -134,10 +143,16 @@
 	return response, nil
 }
 
+// mayBeResent reports whether the request may be sent again after a response.
+func (d *DirectClient) mayBeResent(response *call.Response) bool {
+	_, notRun := d.read(response.Header)
+	return notRun || response.Status >= http.StatusBadRequest
+}
+
 // answers reports whether a response belongs to the request. Upstreams may refuse a request without naming it. Only
 // the first response of a connection can be attributed then: a later one may repeat a refusal of an earlier request.
 func (d *DirectClient) answers(response *httpconn.Response, later bool, requestID string) bool {
-	id := d.requestID(response.Header)
+	id, _ := d.read(response.Header)
 	return id == requestID || id == "" && !later
 }
 
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -67,7 +67,9 @@
 }
 
 func newDirectClient() *DirectClient {
-	return NewDirectClient(func(header http.Header) string { return header.Get("Request-Id") }, nil)
+	return NewDirectClient(func(header http.Header) (string, bool) {
+		return header.Get("Request-Id"), header.Get("Not-Executed") != ""
+	}, nil)
 }
 
 func runDirect(t *testing.T, d *DirectClient, address, id, body string, idempotent bool) (string, error) {
@@ -397,3 +399,53 @@
 	must.Error(t, err)
 	must.Less(t, time.Second, time.Since(start))
 }
+
+// Guards against taking a response that the upstream repeats for the response to a later attempt of the same request, which
+// the upstream runs.
+func TestDirectRepeatedResponseToEarlierAttempt(t *testing.T) {
+	const header = "Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+	for name, first := range map[string]string{
+		"refusal":                     "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + header,
+		"another address":             "HTTP/1.1 421 Misdirected Request\r\n" + header,
+		"failure":                     "HTTP/1.1 500 Internal Server Error\r\n" + header,
+		"refusal with another status": "HTTP/1.1 200 OK\r\nNot-Executed: 1\r\n" + header,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, connections := rawUpstream(t, func(connection, request int) string {
+				switch {
+				case request == 1 && connection == 1:
+					return first
+				case connection == 1:
+					return first + reply("r2", "two")
+				}
+				return reply("r1", "one")
+			})
+			d := newDirectClient()
+			defer d.Close()
+			got, err := runDirect(t, d, address, "r1", "", false)
+			must.NoError(t, err)
+			must.Eq(t, "", got)
+			got, err = runDirect(t, d, address, "r1", "", false)
+			must.NoError(t, err)
+			must.Eq(t, "one", got)
+			must.Eq(t, 1, d.Avoided())
+			d.pool.Sweep()
+			must.Eq(t, 2, connections.Load())
+		})
+	}
+}
+
+// Guards against new connections for requests that an idle connection has not carried.
+func TestDirectReusesConnectionAfterRefusal(t *testing.T) {
+	address, connections := rawUpstream(t, func(_, request int) string {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: r%d\r\nContent-Length: 0\r\n\r\n", request)
+	})
+	d := newDirectClient()
+	defer d.Close()
+	for i := range 10 {
+		_, err := runDirect(t, d, address, fmt.Sprint("r", i+1), "", false)
+		must.NoError(t, err)
+	}
+	must.Eq(t, 1, connections.Load())
+	must.Eq(t, 0, d.Avoided())
+}
