sidecar: keep acknowledged departures over a planned restart

Cause: a departure lived in the process, in the node's entry in the store and in what other nodes remember of that entry. A planned stop ends all three, so a late heartbeat brought the upstream back at the new process.

Change: departures and drains are written to an entry of their own with a lease of 5 minutes, which a new process reads; other nodes keep the departure of a node that they remove for as long, and tell it to the next process. departures_adopted_total counts the effect.

--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -1,9 +1,27 @@
 package sidecar
 
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
 // maxDepartures bounds the departures that are remembered. A VM has one upstream at a time, and late messages of an
 // upstream end within seconds.
 const maxDepartures = 16
 
+// departureLifetime is how long a departure is kept outside the process that acknowledged it. A departed upstream serves
+// on for seconds, and its messages may be late by seconds.
+const departureLifetime = 5 * time.Minute
+
+// departuresPrefix is the store prefix of the departures that nodes have acknowledged, one entry per node. They outlive
+// the node's own entry, which ends when the node stops.
+const departuresPrefix = "cowslipglade/departures/"
+
+// errDepartures means that an entry does not hold departures.
+var errDepartures = errors.New("sidecar: invalid departures")
+
 // departure is the permanent departure of an upstream, acknowledged to it.
 type departure struct {
 	instance string
@@ -11,6 +29,40 @@
 	startTimeMS int64
 }
 
+// departureEntry is a departure as nodes write it to the store.
+type departureEntry struct {
+	Instance    string `json:"instance"`
+	StartTimeMS int64  `json:"start_time_ms,omitempty"`
+}
+
+// encode returns the departures as an entry of the store.
+func (d departures) encode() ([]byte, error) {
+	entries := make([]departureEntry, 0, len(d))
+	for _, known := range d {
+		entries = append(entries, departureEntry{known.instance, known.startTimeMS})
+	}
+	return json.Marshal(entries)
+}
+
+// decodeDepartures decodes and checks an entry of the store, which another writer may have created.
+func decodeDepartures(data []byte) (departures, error) {
+	var entries []departureEntry
+	if err := json.Unmarshal(data, &entries); err != nil {
+		return nil, fmt.Errorf("%w: %w", errDepartures, err)
+	}
+	if len(entries) > maxDepartures {
+		return nil, fmt.Errorf("%w: %d of them, at most %d", errDepartures, len(entries), maxDepartures)
+	}
+	decoded := make(departures, 0, len(entries))
+	for _, e := range entries {
+		if !validInstance(e.Instance) || !validStartTime(e.StartTimeMS) {
+			return nil, fmt.Errorf("%w: instance %q, start %d", errDepartures, abbreviate(e.Instance), e.StartTimeMS)
+		}
+		decoded = append(decoded, departure{e.Instance, e.StartTimeMS})
+	}
+	return decoded, nil
+}
+
 // departures remembers the departures on this VM, so that no message that an upstream sent before it departed undoes
 // that: heartbeats may arrive late, also at a process that started after they were sent.
 type departures []departure
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -100,7 +100,7 @@
 	}
 	f.eventually(func() error {
 		for _, n := range f.nodes {
-			if status, body := f.vars(n); status != http.StatusOK || !strings.Contains(body, fmt.Sprintf(`"members": %d`, count)) {
+			if status, body := f.vars(n); status != http.StatusOK || !containsMembers(body, count) {
 				return fmt.Errorf("%s does not know all members: %s", n.settings.Node, body)
 			} else if !strings.Contains(body, `"w":{"share":0.`) && !strings.Contains(body, `"w":{"share":1,`) {
 				return fmt.Errorf("%s holds no share of the rate: %s", n.settings.Node, body)
@@ -113,6 +113,11 @@
 	return f
 }
 
+// containsMembers reports whether the metrics of a node tell that it knows a number of members, itself included.
+func containsMembers(metrics string, count int) bool {
+	return strings.Contains(metrics, fmt.Sprintf(`"members": %d`, count))
+}
+
 // fleetTokens is how many requests a test may send to a node at once after startFleet.
 const fleetTokens = 50
 
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -63,7 +63,12 @@
 	publishedRevision int64
 	displaced         bool
 
-	members  map[string]*member
+	// departures is used by runPublish and, when that has ended, by deregister.
+	departures departuresEntry
+
+	members map[string]*member
+	// departed holds the departures of former members, by node.
+	departed map[string]formerMember
 	dirty    bool
 	services map[string]bool
 	// listed means that the entries were read from the store, or that another node was contacted.
@@ -77,7 +82,7 @@
 }
 
 func newRegistry(n *Node) *registry {
-	return &registry{node: n, members: map[string]*member{}, services: map[string]bool{}, changed: make(chan struct{}, 1), firstPublished: make(chan struct{})}
+	return &registry{node: n, members: map[string]*member{}, departed: map[string]formerMember{}, services: map[string]bool{}, changed: make(chan struct{}, 1), firstPublished: make(chan struct{})}
 }
 
 // publish updates this node's registration and schedules its write to the store.
--- a/sidecar/registry_entry.go
+++ b/sidecar/registry_entry.go
@@ -73,6 +73,7 @@
 
 func (r *registry) publishEntry(ctx context.Context) {
 	r.setLease(kvstore.NoLease)
+	r.departures = departuresEntry{}
 	p := publisher{registry: r}
 	var retry storeBackoff
 	for ctx.Err() == nil {
@@ -128,11 +129,12 @@
 	if now := clock.Boot(); now.Sub(p.rewrittenAt) >= leaseRenewInterval && p.registry.takeDisplaced() {
 		p.rewrittenAt, p.writtenSequence = now, 0
 	}
-	self := p.registry.registration()
-	if self.Sequence == p.writtenSequence {
-		return nil
+	if self := p.registry.registration(); self.Sequence != p.writtenSequence {
+		if err := p.write(ctx, self); err != nil {
+			return err
+		}
 	}
-	return p.write(ctx, self)
+	return p.registry.departures.sync(ctx, p.registry.node)
 }
 
 func (p *publisher) write(ctx context.Context, self Registration) error {
@@ -183,8 +185,14 @@
 	}
 }
 
-// deregister removes this node's entry by revoking its lease.
+// deregister removes this node's entry by revoking its lease, once the departures that it shows are in their own entry.
+// runPublish must have ended.
 func (r *registry) deregister(ctx context.Context) error {
+	if len(r.node.local.acknowledged()) > 0 {
+		if err := r.departures.sync(ctx, r.node); err != nil {
+			return err // until its lease ends, the node's entry tells what has departed
+		}
+	}
 	r.mu.Lock()
 	lease := r.lease
 	r.lease = kvstore.NoLease
--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/balance"
@@ -34,7 +35,7 @@
 	r.mu.Lock()
 	m := r.members[reg.Node]
 	if m == nil {
-		m = &member{unlistedSince: now}
+		m = &member{unlistedSince: now, earlier: r.departed[reg.Node].departure}
 		r.members[reg.Node] = m
 		r.dirty = true
 	}
@@ -66,6 +67,29 @@
 	}
 }
 
+// lastDeparture returns the last departure that the node has acknowledged, or a zero value.
+func (m *member) lastDeparture() departure {
+	if d, departed := m.departure(); departed {
+		return d
+	}
+	return m.earlier
+}
+
+// formerMember is what is kept of a node that is no longer a member.
+type formerMember struct {
+	departure departure
+	removedAt time.Time
+}
+
+// remove removes a member. The departure that it has acknowledged is kept, as the node may start again. The caller must
+// hold the lock.
+func (r *registry) remove(m *member, now time.Time) {
+	if d := m.lastDeparture(); d.instance != "" {
+		r.departed[m.Node] = formerMember{d, now}
+	}
+	delete(r.members, m.Node)
+}
+
 // earlierDeparture returns the departure that a node may have acknowledged before it restarted, or a zero value.
 func (r *registry) earlierDeparture(node string) departure {
 	r.mu.Lock()
@@ -89,7 +113,7 @@
 		}
 		m.listed = false
 		if stopping {
-			delete(r.members, name)
+			r.remove(m, time.Now())
 		}
 		r.dirty = true
 	}
@@ -113,10 +137,11 @@
 		if r.node.gossip.contactedWithin(name, lapsedEntryGrace) {
 			continue
 		}
-		delete(r.members, name)
+		r.remove(m, now)
 		removed[name] = now.Sub(m.unlistedSince)
 		r.dirty = true
 	}
+	maps.DeleteFunc(r.departed, func(_ string, former formerMember) bool { return now.Sub(former.removedAt) >= departureLifetime })
 	r.mu.Unlock()
 	for name, unlisted := range removed {
 		r.node.log.event("member_removed").Str("peer", name).Dur("unlisted_for_ms", unlisted).Msg("node has no entry and no contact; removed")
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -125,11 +126,13 @@
 		n.log.event("upstream").Str("instance", instance).Int64("born", startTimeMS).Str("outcome", "departed").Msg("upstream departed")
 		n.registry.publish()
 	}
+	n.registry.wakePublisher() // also for an upstream that is not known
 }
 
 // adoptDeparture applies a departure that an earlier process of this node acknowledged.
 func (n *Node) adoptDeparture(d departure, from string) {
 	if n.local.recordDeparture(d) {
+		n.metrics.departuresAdopted.Add(1)
 		n.log.event("upstream").Str("instance", d.instance).Int64("born", d.startTimeMS).Str("from", from).Str("outcome", "departed").
 			Msg("departure acknowledged by an earlier process")
 		n.registry.publish()
@@ -228,6 +231,17 @@
 	return s.recordDeparture(departure{instance, startTimeMS})
 }
 
+// acknowledged returns the departures, with that of the current upstream if it drains: a drain is not undone either.
+func (s *upstreamState) acknowledged() departures {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := slices.Clone(s.departures)
+	if u := s.current.Load(); u != nil && u.leaving() {
+		known.add(departure{u.Instance, u.StartTimeMS})
+	}
+	return known
+}
+
 func (s *upstreamState) recordDeparture(d departure) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
