quarantine: identify a request by its whole body

Cause: the fingerprint covered the first 4 KiB of a body and its declared length, and nothing of a body above 64 KiB. Requests were taken for one another: the success of one cleared the marks of another's crashes, or one was refused for what another had done.

Change: the fingerprint covers the whole body. A streamed request is known by its beginning until its last byte, which is held back until the whole fingerprint has been looked up.

--- a/call/replay.go
+++ b/call/replay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 )
@@ -87,6 +88,35 @@
 // Buffered reports whether the body is in memory, so that any number of attempts can read it.
 func (b *ReplayBody) Buffered() bool { return b.stream == nil }
 
+// Beginning reads the first bytes of a body that is not buffered and that no attempt has read yet. They remain part of it.
+// Errors wrap ErrTruncated.
+func (b *ReplayBody) Beginning(bytesWanted int) ([]byte, error) {
+	beginning := make([]byte, bytesWanted)
+	n, err := io.ReadFull(b.stream, beginning)
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	b.stream = io.MultiReader(bytes.NewReader(beginning[:n]), b.stream)
+	return beginning[:n], nil
+}
+
+// Buffer reads a body that no attempt has read yet, and buffers it if it has at most limit bytes. Errors wrap ErrTruncated.
+func (b *ReplayBody) Buffer(limit int) error {
+	if b.stream == nil {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(b.stream, int64(limit)+1))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	if len(data) > limit {
+		b.stream = io.MultiReader(bytes.NewReader(data), b.stream)
+		return nil
+	}
+	b.data, b.stream = data, nil
+	return nil
+}
+
 // OnClose wraps body so that each Close is followed by a call to after.
 func OnClose(body io.ReadCloser, after func()) io.ReadCloser {
 	return &closeFuncBody{ReadCloser: body, after: after}
--- a/internal/slopes/local.go
+++ b/internal/slopes/local.go
@@ -144,7 +144,7 @@
 	before := heapBytes()
 	list := quarantine.NewList(quarantine.DefaultConfig())
 	for i := range n {
-		fingerprint := quarantine.Fingerprint(workspaceName(i%1000), "POST", fmt.Sprint("/", i), uint64(i))
+		fingerprint := quarantine.Source{Caller: workspaceName(i % 1000), Method: "POST", Target: fmt.Sprint("/", i)}.Fingerprint(uint64(i))
 		list.Merge([]quarantine.Mark{{Fingerprint: fingerprint, Crash: quarantine.CrashID(i + 1), At: epoch}}, epoch)
 	}
 	r.add("quarantine: marks kept", "marks", size, x, float64(list.Count()))
--- a/node/destination.go
+++ b/node/destination.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/internal/settings"
 	"github.com/cowslipglade/cowslipglade/peer"
+	"github.com/cowslipglade/cowslipglade/quarantine"
 	"github.com/cowslipglade/cowslipglade/requestid"
 	"github.com/cowslipglade/cowslipglade/upstream"
 )
@@ -80,6 +81,9 @@
 		release(admission.Ignored)
 		return nil, err
 	}
+	if quarantine.IsBeginning(req.Fingerprint) {
+		req.Body = local.crashes.tracker.Reader(req.Body, requestSource(req), tracked.ticket, n.now)
+	}
 	crashed := false
 	response, err := n.runUpstream(ctx, local, running, func(err error) {
 		crashed = local.crashes.finish(tracked, local.Address, err)
@@ -203,6 +207,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotConnected):
 		return call.NewRefusal(call.CodeUpstreamFailed, call.NotRun, "%v", err)
+	case errors.Is(err, quarantine.ErrQuarantined):
+		return call.NewRefusal(call.CodeQuarantined, call.MayHaveRun, "%v", err)
 	case errors.Is(err, upstream.ErrRequestBody):
 		return bodyRefusal(err, call.MayHaveRun)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -197,8 +197,16 @@
 	mux.Handle(handler.PathPrefix(), peer.RequireSignature(n.keyring, handler))
 }
 
-// fingerprint identifies a request across repeats. Only buffered bodies are included.
+// fingerprint identifies a request across repeats. One whose body is not in memory is identified at its destination, when
+// the body has been passed on.
 func fingerprint(req *call.Request, body *call.ReplayBody) uint64 {
-	prefix := body.Data()[:min(len(body.Data()), quarantine.BodyPrefixBytes)]
-	return quarantine.Fingerprint(req.Workspace, req.Method, req.Target, quarantine.BodyHash(prefix, req.ContentLength))
+	if body.Buffered() {
+		return requestSource(req).Fingerprint(quarantine.BodyHash(body.Data()))
+	}
+	return requestSource(req).Beginning(nil)
+}
+
+// requestSource returns what identifies a request beside its body.
+func requestSource(req *call.Request) quarantine.Source {
+	return quarantine.Source{Caller: req.Workspace, Method: req.Method, Target: req.Target}
 }
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -77,7 +77,11 @@
 	s := l.shard(fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return l.evaluate(s.marks[fingerprint], now)
+	standing, remaining := l.evaluate(s.marks[fingerprint], now)
+	if standing == Quarantined && IsBeginning(fingerprint) {
+		return Suspect, 0
+	}
+	return standing, remaining
 }
 
 func (l *List) evaluate(marks []entry, now time.Time) (Standing, time.Duration) {
@@ -111,8 +115,12 @@
 }
 
 // Success clears the known marks of a fingerprint and remembers that it has succeeded, so that older
-// marks are cleared when they arrive. Any complete response of the upstream is a success.
+// marks are cleared when they arrive. Any complete response of the upstream is a success. That of one request does not
+// clear a beginning, which others share.
 func (l *List) Success(fingerprint uint64, now time.Time) {
+	if IsBeginning(fingerprint) {
+		return
+	}
 	s := l.shard(fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,8 +174,11 @@
 	return s.lastSuccess(fingerprint) != 0
 }
 
-// isSuspect reports whether the fingerprint has marks and no remembered success.
+// isSuspect reports whether the fingerprint is that of a whole request and has marks and no remembered success.
 func (l *List) isSuspect(fingerprint uint64, now time.Time) bool {
+	if IsBeginning(fingerprint) {
+		return false
+	}
 	standing, _ := l.Standing(fingerprint, now)
 	return standing != Clear && !l.succeeded(fingerprint)
 }
@@ -304,7 +315,7 @@
 		s := &l.shards[i]
 		s.mu.Lock()
 		for fingerprint, marks := range s.marks {
-			if standing, remaining := l.evaluate(marks, now); standing == Quarantined {
+			if standing, remaining := l.evaluate(marks, now); standing == Quarantined && !IsBeginning(fingerprint) {
 				refusals = append(refusals, Refusal{Fingerprint: fingerprint, Remaining: remaining})
 			}
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,7 +14,14 @@
 //   - Marks of a fingerprint with a recent success are weak. A request that was alone in flight always
 //     gets a strong mark.
 //
-// Two weak marks count as one strong mark. The package owns no clock, random source or goroutine.
+// Two weak marks count as one strong mark.
+//
+// The fingerprint of a request covers its whole body, so that it is never taken for another request. A body that is passed
+// on while it arrives is known only at its end. Until then the request has the fingerprint of its beginning, which many
+// requests may share: it is marked in a crash, but never refused, cleared by a success or held as a suspect. A later request
+// with a marked beginning is read to its end before it is sent, as far as memory allows (Identifier).
+//
+// The package owns no clock, random source or goroutine.
 package quarantine
 
 import (
@@ -54,33 +61,6 @@
 	}
 }
 
-// BodyPrefixBytes is the number of body bytes that a fingerprint covers. Hashing them takes less than a
-// microsecond; a longer prefix would delay large uploads.
-const BodyPrefixBytes = 4096
-
-// BodyHash returns the hash of a body's first BodyPrefixBytes bytes and its length. The length is negative
-// when it is unknown.
-func BodyHash(prefix []byte, length int64) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.Write(prefix[:min(len(prefix), BodyPrefixBytes)])
-	writeNumber(&digest, uint64(length))
-	return digest.Sum64()
-}
-
-// Fingerprint returns a hash that identifies a request of a workspace across retries. The hash is unkeyed:
-// whoever knows a request exactly can construct a colliding one of the same workspace.
-func Fingerprint(workspace, method, target string, bodyHash uint64) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range [...]string{workspace, method, target} {
-		writeNumber(&digest, uint64(len(part))) // distinguishes "ab","c" from "a","bc"
-		_, _ = digest.WriteString(part)
-	}
-	writeNumber(&digest, bodyHash)
-	return digest.Sum64()
-}
-
 func writeNumber(digest *xxhash.Digest, number uint64) {
 	var buffer [8]byte
 	binary.LittleEndian.PutUint64(buffer[:], number)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -202,8 +202,8 @@
 	list.Success(6, epoch.Add(time.Minute)) // later than the marks, but recorded before they arrive
 	list.Merge([]Mark{{Fingerprint: 6, Crash: 1, At: epoch}, {Fingerprint: 6, Crash: 2, At: epoch}}, epoch.Add(time.Minute))
 	expect(6, time.Minute, Clear)
-	must.NotEq(t, Fingerprint("ab", "c", "d", 0), Fingerprint("a", "bc", "d", 0))
-	must.NotEq(t, BodyHash([]byte("a"), 1), BodyHash([]byte("a"), 2))
+	must.NotEq(t, Source{"ab", "c", "d"}.Fingerprint(0), Source{"a", "bc", "d"}.Fingerprint(0))
+	must.NotEq(t, BodyHash([]byte("a")), BodyHash([]byte("aa")))
 }
 
 // Guards against data races and a count of suspects that does not return to 0; run with -race.
@@ -231,11 +231,11 @@
 }
 
 func BenchmarkStartEnd(b *testing.B) {
-	tracker, body := NewTracker(NewList(DefaultConfig())), make([]byte, BodyPrefixBytes)
+	tracker, body := NewTracker(NewList(DefaultConfig())), make([]byte, BeginningBytes)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			fingerprint := Fingerprint("workspace", "POST", "/stock/check?part=1", BodyHash(body, BodyPrefixBytes)) + rand.Uint64()
+			fingerprint := Source{"workspace", "POST", "/stock/check?part=1"}.Fingerprint(BodyHash(body)) ^ rand.Uint64N(beginningBit)
 			ticket, _ := tracker.Start(fingerprint, 0, epoch)
 			tracker.End(ticket, true, epoch)
 		}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -48,10 +48,16 @@
 	calls int
 	// suspects is the number of calls that were started as suspects.
 	suspects int
+	// beginning is the fingerprint by which the calls were known before, or 0.
+	beginning uint64
 }
 
-// Ticket is one call in flight. It is not safe for concurrent use.
-type Ticket struct {
+// Ticket is one call in flight. Its copies are the same call.
+type Ticket struct{ *trackedCall }
+
+// trackedCall is what a Tracker knows of a call in flight.
+type trackedCall struct {
+	mu          sync.Mutex
 	fingerprint uint64
 	counts      *callCounts
 	suspect     bool
@@ -74,7 +80,7 @@
 	if standing == Quarantined {
 		return Ticket{}, Decision{Action: Refuse, RetryAfter: remaining}
 	}
-	suspect := (standing == Suspect || crashes > 0) && !t.list.succeeded(fingerprint)
+	suspect := (standing == Suspect || crashes > 0) && !IsBeginning(fingerprint) && !t.list.succeeded(fingerprint)
 	if suspect && !t.suspects.CompareAndSwap(0, 1) {
 		return Ticket{}, Decision{Action: Hold}
 	}
@@ -82,7 +88,11 @@
 		t.suspects.Add(-1)
 		return Ticket{}, Decision{Action: Hold}
 	}
-	return t.add(fingerprint, suspect), Decision{}
+	return newTicket(fingerprint, t.add(fingerprint, 0, suspect), suspect), Decision{}
+}
+
+func newTicket(fingerprint uint64, counts *callCounts, suspect bool) Ticket {
+	return Ticket{&trackedCall{fingerprint: fingerprint, counts: counts, suspect: suspect}}
 }
 
 // hasNewSuspect reports whether a mark has made a call in flight a suspect since its start. The search runs
@@ -105,10 +115,30 @@
 // ForceStart starts a held call although another suspect is in flight.
 func (t *Tracker) ForceStart(fingerprint uint64) Ticket {
 	t.suspects.Add(1)
-	return t.add(fingerprint, true)
+	return newTicket(fingerprint, t.add(fingerprint, 0, true), true)
 }
 
-func (t *Tracker) add(fingerprint uint64, suspect bool) Ticket {
+// identify replaces the fingerprint of a beginning by that of the whole request, and reports whether that is quarantined. It
+// has no effect on a call that has ended.
+func (t *Tracker) identify(ticket Ticket, fingerprint uint64, now time.Time) (quarantined bool) {
+	ticket.mu.Lock()
+	defer ticket.mu.Unlock()
+	if standing, _ := t.list.Standing(fingerprint, now); standing == Quarantined {
+		return true
+	}
+	beginning, old := ticket.fingerprint, ticket.counts
+	// First added, then removed, so that a crash in between misses neither.
+	counts := t.add(fingerprint, beginning, false)
+	if !t.removeCall(beginning, old, ticket.suspect) {
+		t.removeCall(fingerprint, counts, false)
+		return false
+	}
+	ticket.fingerprint, ticket.counts, ticket.suspect = fingerprint, counts, false
+	return false
+}
+
+// add adds a call to those in flight. beginning is the fingerprint by which it was known before, or 0.
+func (t *Tracker) add(fingerprint, beginning uint64, suspect bool) *callCounts {
 	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,32 +151,40 @@
 	if suspect {
 		counts.suspects++
 	}
-	return Ticket{fingerprint: fingerprint, counts: counts, suspect: suspect}
+	if beginning != 0 {
+		counts.beginning = beginning
+	}
+	return counts
 }
 
 // End ends a call. success means that the upstream sent a complete response; an incomplete response or a
 // canceled call is not a success. End has no effect on a call that was in flight at a crash.
 func (t *Tracker) End(ticket Ticket, success bool, now time.Time) {
-	if t.remove(ticket) && success {
+	if ticket.trackedCall == nil {
+		return
+	}
+	ticket.mu.Lock()
+	defer ticket.mu.Unlock()
+	if t.removeCall(ticket.fingerprint, ticket.counts, ticket.suspect) && success {
 		t.list.Success(ticket.fingerprint, now)
 	}
 }
 
-// remove reports whether the call was still in flight; it is not after a crash.
-func (t *Tracker) remove(ticket Ticket) bool {
-	s := &t.shards[ticket.fingerprint%shardCount]
+// removeCall reports whether the call was still in flight; it is not after a crash.
+func (t *Tracker) removeCall(fingerprint uint64, counts *callCounts, suspect bool) bool {
+	s := &t.shards[fingerprint%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ticket.counts == nil || s.inFlight[ticket.fingerprint] != ticket.counts {
+	if counts == nil || s.inFlight[fingerprint] != counts {
 		return false
 	}
-	ticket.counts.calls--
-	if ticket.suspect {
-		ticket.counts.suspects--
+	counts.calls--
+	if suspect {
+		counts.suspects--
 		t.suspects.Add(-1)
 	}
-	if ticket.counts.calls == 0 {
-		delete(s.inFlight, ticket.fingerprint)
+	if counts.calls == 0 {
+		delete(s.inFlight, fingerprint)
 	}
 	return true
 }
@@ -163,7 +201,12 @@
 		}
 	}
 	marks := make([]Mark, 0, len(inFlight))
-	for fingerprint := range inFlight {
+	for fingerprint, counts := range inFlight {
+		if counts.beginning != 0 {
+			mark := Mark{Fingerprint: counts.beginning, Crash: id, At: now}
+			t.list.add(mark)
+			marks = append(marks, mark)
+		}
 		mark := Mark{Fingerprint: fingerprint, Crash: id, At: now}
 		attributed := len(suspects) == 0 || len(suspects) == 1 && suspects[fingerprint]
 		mark.Weak = len(inFlight) > 1 && (!attributed || t.list.succeeded(fingerprint))
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -122,6 +122,9 @@
 		release(admission.Ignored)
 		return nil, n.refuseLocal(req, refusal, u)
 	}
+	if quarantine.IsBeginning(req.Fingerprint) {
+		req.Body = u.tracker.Reader(req.Body, requestSource(req), ticket, time.Now)
+	}
 	return n.runUpstream(ctx, u, req, metered, func(result admission.Result) {
 		u.tracker.End(ticket, result == admission.Succeeded, time.Now())
 		release(result)
@@ -287,6 +290,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotConnected):
 		return call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%v", err)
+	case errors.Is(err, quarantine.ErrQuarantined):
+		return call.NewRefusal(call.CodeQuarantined, call.MayHaveRun, "%v", err)
 	case errors.Is(err, upstream.ErrRequestBody):
 		return call.NewRefusal(call.CodeIncompleteBody, call.MayHaveRun, "%v", err)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -133,11 +133,11 @@
 	if refusal := n.refuseOverloaded(e); refusal != nil {
 		return nil, refusal
 	}
-	body, err := readBody(w, r, e)
+	releaseBody, err := n.readBody(w, r, e)
 	if err != nil {
 		return nil, n.bodyRefusal(e, err)
 	}
-	e.body = body
+	defer releaseBody()
 	release, refusal := n.beginCalls(ctx, e)
 	if refusal != nil {
 		return nil, refusal
@@ -148,7 +148,6 @@
 			return nil, refusal
 		}
 	}
-	e.req.Fingerprint = quarantine.Fingerprint(e.req.Workspace+"|"+e.req.CallerService, e.req.Method, e.req.Target, quarantine.BodyHash(body.Data(), r.ContentLength))
 	if standing, remaining := n.quarantine.Standing(e.req.Fingerprint, time.Now()); standing == quarantine.Quarantined {
 		refusal := call.NewRefusal(call.CodeQuarantined, call.NotRun, "the request has crashed upstreams")
 		refusal.RetryAfter = remaining
@@ -157,22 +156,40 @@
 	return n.dispatch(ctx, e)
 }
 
-// readBody reads the request body, buffering it in memory if it fits. Reading is bounded by the deadline and
-// by the abort time of a shutdown.
-func readBody(w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.ReplayBody, error) {
+// readBody reads the request body, buffering it in memory if it fits, and determines the fingerprint of the request.
+// Reading is bounded by the deadline and by the abort time of a shutdown. release must be called when the body is no longer
+// needed.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, e *entryRequest) (release func(), err error) {
 	body := httpserver.NewBody(w, r)
 	e.incoming = body
-	if r.ContentLength == 0 {
-		return call.NewReplayBody(&call.Request{})
+	unread := &call.Request{}
+	if r.ContentLength != 0 {
+		if err := body.SetDeadline(e.req.Deadline); err != nil {
+			return nil, err
+		}
+		stopAbort := context.AfterFunc(e.abort, func() {
+			_ = body.SetDeadline(time.Now()) // fails only if the connection is already closed
+		})
+		defer stopAbort()
+		unread = &call.Request{Body: body, ContentLength: r.ContentLength}
 	}
-	if err := body.SetDeadline(e.req.Deadline); err != nil {
+	if e.body, err = call.NewReplayBody(unread); err != nil {
 		return nil, err
 	}
-	stopAbort := context.AfterFunc(e.abort, func() {
-		_ = body.SetDeadline(time.Now()) // fails only if the connection is already closed
-	})
-	defer stopAbort()
-	return call.NewReplayBody(&call.Request{Body: body, ContentLength: r.ContentLength})
+	long := !e.body.Buffered()
+	e.req.Fingerprint, release, err = n.identifier.Identify(requestSource(e.req), e.body, time.Now())
+	switch {
+	case long && e.body.Buffered():
+		n.metrics.longBodies.Add("read_ahead", 1)
+	case long:
+		n.metrics.longBodies.Add("streamed", 1)
+	}
+	return release, err
+}
+
+// requestSource returns what identifies a request beside its body.
+func requestSource(req *call.Request) quarantine.Source {
+	return quarantine.Source{Caller: req.Workspace + "|" + req.CallerService, Method: req.Method, Target: req.Target}
 }
 
 // admit determines the route and workspace of a request and sets its deadline.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -52,6 +52,8 @@
 	vars *expvar.Map
 	// outcomes counts requests that entered at this node, by result.
 	outcomes *expvar.Map
+	// longBodies counts the requests whose body was not in memory when it had begun, by how their fingerprint was determined.
+	longBodies *expvar.Map
 	// departuresAdopted counts the departures, acknowledged by an earlier process, that took the upstream out here.
 	departuresAdopted *expvar.Int
 	// refused counts calls refused by this node on behalf of its upstream, by refusal code.
@@ -86,7 +88,7 @@
 		registrationsRejected: new(expvar.Map).Init(), upstreamCalls: new(expvar.Map).Init(), upstreamSends: new(expvar.Map).Init(),
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
-		evacuationRefused: new(expvar.Int), departuresAdopted: new(expvar.Int), clientsClosed: new(expvar.Map).Init(),
+		evacuationRefused: new(expvar.Int), departuresAdopted: new(expvar.Int), longBodies: new(expvar.Map).Init(), clientsClosed: new(expvar.Map).Init(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
@@ -101,6 +103,7 @@
 	m.vars.Set("upstream_paced_total", m.paced)
 	m.vars.Set("upstream_cold_signs_total", m.coldSigns)
 	m.vars.Set("upstream_cold_seconds", expvar.Func(func() any { return n.local.pacer.Cold(time.Now()).Seconds() }))
+	m.vars.Set("long_bodies_total", m.longBodies)
 	m.vars.Set("departures_adopted_total", m.departuresAdopted)
 	m.vars.Set("evacuation_refusals_total", m.evacuationRefused)
 	m.vars.Set("evacuation", expvar.Func(func() any {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -110,6 +110,7 @@
 	limits            *backpressure.Limits
 	running           lineage.Tracker // requests on the upstream of this VM
 	quarantine        *quarantine.List
+	identifier        *quarantine.Identifier
 	upstreams         *upstream.DirectClient
 	forwarder         *peer.Forwarder
 	pipeline          *pipeline.Pipeline
@@ -151,6 +152,7 @@
 		forwarder:  peer.NewForwarder(settings.Node),
 	}
 	n.currentSettings.Store(settings)
+	n.identifier = quarantine.NewIdentifier(n.quarantine)
 	n.maxCalls = intake.Calls(settings.Descriptors)
 	n.upstreams = upstream.NewDirectClient(func(response http.Header) (string, bool) {
 		fields := n.headers.ReadResponse(response)
