sidecar, quarantine: names that tell stored departures and former members apart

Cause: departureEntry and departuresEntry, and departures and departed, differed by an ending only; a constant was exported without need; the package comment left the stored departures out. Change: storedDeparture, formerMembers, beginningBytes; no behaviour.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// BeginningBytes is the number of bytes that the beginning of a long body has.
-	BeginningBytes = 4096
+	// beginningBytes is the number of bytes that the beginning of a long body has.
+	beginningBytes = 4096
 	// maxReadAhead bounds a body that is read to its end before it is sent.
 	maxReadAhead = 1 << 20
 	// maxReadsAhead bounds the number of such bodies in memory at a time.
@@ -81,7 +81,7 @@
 	if body.Buffered() {
 		return source.Fingerprint(BodyHash(body.Data())), release, nil
 	}
-	data, err := body.Beginning(BeginningBytes)
+	data, err := body.Beginning(beginningBytes)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -39,7 +39,7 @@
 }
 
 // beginning returns the fingerprint of the beginning.
-func (u *upload) beginning() uint64 { return uploads.Beginning(u.content[:BeginningBytes]) }
+func (u *upload) beginning() uint64 { return uploads.Beginning(u.content[:beginningBytes]) }
 
 // crashWith crashes an upstream that has the whole body of an upload.
 func crashWith(t *testing.T, list *List, u *upload, crash int, now time.Time) {
@@ -58,7 +58,7 @@
 // two as it comes with a length or in chunks.
 func TestFingerprintCoversBody(t *testing.T) {
 	seen := map[uint64]string{}
-	for _, size := range []int{1, 100, BeginningBytes, BeginningBytes + 1, 64 << 10, 200_000} {
+	for _, size := range []int{1, 100, beginningBytes, beginningBytes + 1, 64 << 10, 200_000} {
 		for _, changed := range []int{0, size / 2, size - 1} {
 			content := make([]byte, size)
 			content[changed]++
@@ -208,7 +208,7 @@
 }
 
 func BenchmarkFingerprint(b *testing.B) {
-	for _, size := range []int{BeginningBytes, 64 << 10} {
+	for _, size := range []int{beginningBytes, 64 << 10} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			body := make([]byte, size)
 			for b.Loop() {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -231,7 +231,7 @@
 }
 
 func BenchmarkStartEnd(b *testing.B) {
-	tracker, body := NewTracker(NewList(DefaultConfig())), make([]byte, BeginningBytes)
+	tracker, body := NewTracker(NewList(DefaultConfig())), make([]byte, beginningBytes)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -29,24 +29,24 @@
 	startTimeMS int64
 }
 
-// departureEntry is a departure as nodes write it to the store.
-type departureEntry struct {
+// storedDeparture is a departure as nodes write it to the store.
+type storedDeparture struct {
 	Instance    string `json:"instance"`
 	StartTimeMS int64  `json:"start_time_ms,omitempty"`
 }
 
 // encode returns the departures as an entry of the store.
 func (d departures) encode() ([]byte, error) {
-	entries := make([]departureEntry, 0, len(d))
+	entries := make([]storedDeparture, 0, len(d))
 	for _, known := range d {
-		entries = append(entries, departureEntry{known.instance, known.startTimeMS})
+		entries = append(entries, storedDeparture{known.instance, known.startTimeMS})
 	}
 	return json.Marshal(entries)
 }
 
 // decodeDepartures decodes and checks an entry of the store, which another writer may have created.
 func decodeDepartures(data []byte) (departures, error) {
-	var entries []departureEntry
+	var entries []storedDeparture
 	if err := json.Unmarshal(data, &entries); err != nil {
 		return nil, fmt.Errorf("%w: %w", errDepartures, err)
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -6,9 +6,9 @@
 // node queues the call, runs it and returns the response. Because it is the only way to reach the upstream,
 // it alone owns the upstream's slots, drain state and crashes.
 //
-// The store holds the configuration and one leased entry per node. All other state is exchanged directly
-// between nodes, so that traffic continues while the store is unavailable: quota demand, the age of the
-// configuration, crash marks and reachability. Nothing is persisted on the VM.
+// The store holds the configuration, one leased entry per node, and the departures that nodes have acknowledged.
+// All other state is exchanged directly between nodes, so that traffic continues while the store is unavailable:
+// quota demand, the age of the configuration, crash marks and reachability. Nothing is persisted on the VM.
 //
 // A Node owns its goroutines and sockets. Its methods are safe for concurrent use.
 package sidecar
--- a/sidecar/registry.go
+++ b/sidecar/registry.go
@@ -67,10 +67,10 @@
 	departures departuresEntry
 
 	members map[string]*member
-	// departed holds the departures of former members, by node.
-	departed map[string]formerMember
-	dirty    bool
-	services map[string]bool
+	// formerMembers holds the departures of nodes that are no longer members.
+	formerMembers map[string]formerMember
+	dirty         bool
+	services      map[string]bool
 	// listed means that the entries were read from the store, or that another node was contacted.
 	listed bool
 	// complete means that the entries were read as they were after this node's own entry had been written. Of two nodes
@@ -82,7 +82,7 @@
 }
 
 func newRegistry(n *Node) *registry {
-	return &registry{node: n, members: map[string]*member{}, departed: map[string]formerMember{}, services: map[string]bool{}, changed: make(chan struct{}, 1), firstPublished: make(chan struct{})}
+	return &registry{node: n, members: map[string]*member{}, formerMembers: map[string]formerMember{}, services: map[string]bool{}, changed: make(chan struct{}, 1), firstPublished: make(chan struct{})}
 }
 
 // publish updates this node's registration and schedules its write to the store.
--- a/sidecar/registry_members.go
+++ b/sidecar/registry_members.go
@@ -35,7 +35,7 @@
 	r.mu.Lock()
 	m := r.members[reg.Node]
 	if m == nil {
-		m = &member{unlistedSince: now, earlier: r.departed[reg.Node].departure}
+		m = &member{unlistedSince: now, earlier: r.formerMembers[reg.Node].departure}
 		r.members[reg.Node] = m
 		r.dirty = true
 	}
@@ -85,7 +85,7 @@
 // hold the lock.
 func (r *registry) remove(m *member, now time.Time) {
 	if d := m.lastDeparture(); d.instance != "" {
-		r.departed[m.Node] = formerMember{d, now}
+		r.formerMembers[m.Node] = formerMember{d, now}
 	}
 	delete(r.members, m.Node)
 }
@@ -141,7 +141,7 @@
 		removed[name] = now.Sub(m.unlistedSince)
 		r.dirty = true
 	}
-	maps.DeleteFunc(r.departed, func(_ string, former formerMember) bool { return now.Sub(former.removedAt) >= departureLifetime })
+	maps.DeleteFunc(r.formerMembers, func(_ string, former formerMember) bool { return now.Sub(former.removedAt) >= departureLifetime })
 	r.mu.Unlock()
 	for name, unlisted := range removed {
 		r.node.log.event("member_removed").Str("peer", name).Dur("unlisted_for_ms", unlisted).Msg("node has no entry and no contact; removed")
