--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -104,6 +104,8 @@
 	m.vars.Set("upstream_cold_signs_total", m.coldSigns)
 	m.vars.Set("upstream_cold_seconds", expvar.Func(func() any { return n.local.pacer.Cold(time.Now()).Seconds() }))
 	m.vars.Set("long_bodies_total", m.longBodies)
+	m.vars.Set("crash_marks", expvar.Func(func() any { return n.quarantine.Count() }))
+	m.vars.Set("requests_quarantined", expvar.Func(func() any { return len(n.quarantine.Refusals(time.Now())) }))
 	m.vars.Set("departures_adopted_total", m.departuresAdopted)
 	m.vars.Set("evacuation_refusals_total", m.evacuationRefused)
 	m.vars.Set("evacuation", expvar.Func(func() any {
