sidecar: tell who closed a connection with an unanswered request

Change: a connection notes the first cause of its close; when net/http reports it closed, requests without a response are counted by cause (requests_unanswered_total) and, unless the client left, logged (request_unanswered, bounded like all kinds). No decision changes.

--- a/internal/httpserver/guard_test.go
+++ b/internal/httpserver/guard_test.go
@@ -23,6 +23,11 @@
 	t       *testing.T
 	address string
 	ledger  *intake.Ledger
+	guard   *Guard
+	server  *Server
+	// unanswered receives what is reported; panics makes handlers panic that wait for it.
+	unanswered chan *Unanswered
+	panics     chan any
 
 	mu      sync.Mutex
 	reasons []intake.Reason
@@ -44,20 +49,26 @@
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
-	g := &guarded{t: t, address: listener.Addr().String(), ledger: intake.NewLedger(budgets)}
-	guard := NewGuard(GuardConfig{
+	g := &guarded{t: t, address: listener.Addr().String(), ledger: intake.NewLedger(budgets), unanswered: make(chan *Unanswered, 100), panics: make(chan any, 1)}
+	g.guard = NewGuard(GuardConfig{
 		Ledger: g.ledger, Limits: func() config.ClientLimits { return limits },
 		Closed: func(_ net.Addr, reason intake.Reason, _ intake.Turn) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.reasons = append(g.reasons, reason)
 		},
+		Unanswered: func(u *Unanswered) {
+			select {
+			case g.unanswered <- u:
+			default: // no test reads so many
+			}
+		},
 	})
 	server := &http.Server{Handler: handler}
-	guard.Attach(server)
-	s := New("test", server)
-	go func() { _ = s.Serve(wrappedListener{guard.Listen(listener)}) }()
-	t.Cleanup(func() { _ = s.Close() })
+	g.guard.Attach(server)
+	g.server = New("test", server)
+	go func() { _ = g.server.Serve(wrappedListener{g.guard.Listen(listener)}) }()
+	t.Cleanup(func() { _ = g.server.Close() })
 	return g
 }
 
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	*http.Server
 	// Name identifies the server in errors.
 	Name string
+	// stopping means that Shutdown or Close has been called.
+	stopping atomic.Bool
 
 	mu sync.Mutex
 	// unused maps connections without a request to the time at which they were opened.
@@ -43,8 +46,13 @@
 }
 
 func (s *Server) connState(connection net.Conn, state http.ConnState) {
-	if conn := unwrap(connection); conn != nil && state == http.StateIdle {
-		conn.answered()
+	if conn := unwrap(connection); conn != nil {
+		switch state {
+		case http.StateIdle:
+			conn.answered()
+		case http.StateClosed:
+			conn.reportUnanswered(s.stopping.Load())
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,6 +66,7 @@
 // Shutdown closes the listener, waits for running requests to finish and closes all connections. If ctx ends
 // first, it also closes the connections of running requests and returns an error that wraps ErrUnfinished.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
 	done := make(chan error, 1)
 	go func() { done <- s.Server.Shutdown(ctx) }()
 	ticker := time.NewTicker(pollInterval)
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -212,6 +212,7 @@
 		choice, err := d.node.picker.Pick(req.Service, d.query(), time.Now(), random.Shared)
 		if err == nil {
 			d.tried = append(d.tried, choice.ID)
+			d.entry.sends++
 			return choice, true
 		}
 		if d.repeats > 0 || !time.Now().Before(giveUpAt) || d.reroutes >= maxReroutes {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -51,6 +51,8 @@
 	release func()
 	// aborted means that the shutdown of this node aborted the request.
 	aborted bool
+	// sends is the number of destinations that the request was sent to.
+	sends int
 }
 
 // ServeHTTP handles requests from clients and from the upstream on this VM.
@@ -59,8 +61,12 @@
 	defer n.entryInFlight.Add(-1)
 	started, answered := takeEarly(r)
 	defer answered()
-	if started == nil {
+	early := started != nil
+	if !early {
 		started = n.newEntry(r.Context(), r)
+	}
+	httpserver.SetDetails(r.Context(), started.entry)
+	if !early {
 		started.run(w, r)
 	}
 	defer started.end()
--- a/sidecar/intake.go
+++ b/sidecar/intake.go
@@ -34,6 +34,7 @@
 		Closed: func(remote net.Addr, reason intake.Reason, turn intake.Turn) {
 			n.clientClosed(listener, remote, reason, turn)
 		},
+		Unanswered: func(u *httpserver.Unanswered) { n.recordUnanswered(listener, u) },
 	}
 	if listener == intake.Requests {
 		guarded.Refuse, guarded.Local = n.refuseIntake, n.isLocal
@@ -75,6 +76,30 @@
 	}
 }
 
+// recordUnanswered counts requests that got no response, and logs those whose client has not left by itself.
+func (n *Node) recordUnanswered(listener intake.Listener, u *httpserver.Unanswered) {
+	n.metrics.unanswered.Add(listener.String()+"/"+string(u.Cause), int64(u.Requests))
+	if u.Cause == httpserver.ByClient {
+		return
+	}
+	event := n.log.event("request_unanswered")
+	if event == nil {
+		return
+	}
+	event.Str("listener", listener.String()).Str("remote", u.Remote.String()).Str("cause", string(u.Cause)).Int("requests", u.Requests).
+		Dur("since_read_ms", u.SinceRead).Bool("stopping", n.stopping.Load())
+	if u.BeforeRead >= 0 {
+		event.Dur("unread_ms", u.BeforeRead)
+	}
+	if e, ok := u.Details.(*entryRequest); ok {
+		event.Str("request_id", e.fields.ID).Int("sends", e.sends)
+		if e.route != nil {
+			event.Str("route", e.route.Name)
+		}
+	}
+	event.Msg("connection closed before the response to a request")
+}
+
 // sweepClients closes connections whose time is over.
 func (n *Node) sweepClients(now time.Time) {
 	for _, server := range n.servers {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -76,6 +76,8 @@
 	evacuationRefused *expvar.Int
 	// clientsClosed counts connections that were closed because of what their clients held, by listener and reason.
 	clientsClosed *expvar.Map
+	// unanswered counts requests whose connection was closed before their response, by listener and cause.
+	unanswered *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -89,6 +91,7 @@
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
 		evacuationRefused: new(expvar.Int), departuresAdopted: new(expvar.Int), longBodies: new(expvar.Map).Init(), clientsClosed: new(expvar.Map).Init(),
+		unanswered: new(expvar.Map).Init(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
@@ -119,6 +122,7 @@
 		return map[string]any{"failure_domains": set.FailureDomains, "revision": set.Revision, "age_seconds": age.Seconds()}
 	}))
 	m.vars.Set("clients_closed_total", m.clientsClosed)
+	m.vars.Set("requests_unanswered_total", m.unanswered)
 	m.vars.Set("clients", expvar.Func(func() any { return n.clientStatus() }))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
