httpserver: a connection is ended by the goroutine that reads it

Callers saw requests run and end with a closed connection, without an answer (LOST): when the operators' idle limit passed, or a budget for connections was used up, just as a request came.

A read that ended in between, or had ended and not been accounted for yet, returned the request all the same; it was passed on, and its response went to a closed socket. A request that waited in the socket was lost with the connection, and an upload that stalled beside a used-up budget got no answer either.

They interrupt its read with a deadline; the reader looks once more at the socket and ends the connection only if nothing is there. Otherwise the client keeps its connection, with its account (Ledger.Keep), until the request is answered with Connection: close. A stalled body fails its read, so its handler answers. Clients that don't take a response, or stop within a header, lose their connection at once, as before.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -255,6 +255,21 @@
 	}
 }
 
+// Keep takes the removal of a client back whose connection could not be closed, as it has sent something meanwhile. The budgets
+// may be exceeded by what it holds.
+func (l *Ledger) Keep(c *Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.closed {
+		return
+	}
+	c.closed = false
+	l.clients[c] = struct{}{}
+	for r, amount := range c.held {
+		l.used[r] += amount
+	}
+}
+
 // victim returns the client that loses its connection first, or nil and the time from which on there may be one. A client
 // keeps its connection while it waits for the node, and for Budgets.MinStall after it has made progress. An idle one keeps it
 // while there are enough others to take room from, as its client may use it at any moment.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -45,6 +45,12 @@
 	served       bool
 	reading      bool
 	readDeadline time.Time
+	// between means that no part of a further request had arrived when the read in progress began.
+	between bool
+	// ending is why the read in progress is to end the connection; empty if it is not. closing means that the next
+	// response is the last of the connection.
+	ending  intake.Reason
+	closing bool
 	// cause is why the connection was closed, closedAt when; empty before. receivedAt is when its last bytes arrived, if known.
 	cause                CloseCause
 	closedAt, receivedAt time.Time
@@ -57,16 +63,21 @@
 	}
 	ledger := c.guard.config.Ledger
 	c.mu.Lock()
-	c.reading = true
-	turn := c.turn()
-	ledger.BeginRead(c.client, turn, time.Now())
+	c.reading, c.between = true, c.framer.Between()
+	ledger.BeginRead(c.client, c.turn(), time.Now())
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	if n == 0 && err != nil {
+		n, err = c.readArrived(p, err)
+	}
 	now := time.Now()
 	c.noteReadError(err)
-	c.mu.Lock()
-	c.reading = false
-	c.mu.Unlock()
+	if reason := c.endRead(n > 0); reason != "" {
+		c.failed = err
+		c.noteCause(CloseCause(reason))
+		c.guard.closed(c.RemoteAddr(), reason, ledger.Turn(c.client))
+		return 0, err
+	}
 	if n > 0 {
 		if c.framer.Between() {
 			ledger.HeaderStarted(c.client, now)
@@ -76,7 +87,7 @@
 		c.framer.Feed(p[:n], c)
 		if c.failed != nil {
 			if errors.Is(c.failed, ErrNoRoom) {
-				c.disconnect(intake.NoRoom)
+				c.closeNow(intake.NoRoom)
 			}
 			return 0, c.failed // the bytes are lost, so nothing more can be read
 		}
@@ -155,8 +166,11 @@
 // SetReadDeadline implements net.Conn.
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.readDeadline = t
-	c.mu.Unlock()
+	if c.ending != "" {
+		return nil
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -315,10 +329,3 @@
 	c.guard.config.Ledger.Close(c.client)
 	return c.Conn.Close()
 }
-
-// disconnect closes the connection of a client. The server sees errors and ends its requests.
-func (c *guardedConn) disconnect(reason intake.Reason) {
-	c.noteCause(CloseCause(reason))
-	c.guard.closed(c.RemoteAddr(), reason, c.guard.config.Ledger.Turn(c.client))
-	_ = c.Conn.Close() // may be closed already
-}
--- /dev/null
+++ b/internal/httpserver/end.go
@@ -0,0 +1,106 @@
+package httpserver
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cowslipglade/cowslipglade/intake"
+)
+
+// A ledger that takes a connection for unused can be overtaken by its client: a request may have arrived, or may just have
+// been read. Only the goroutine that reads the connection can tell, so it is the one that ends it.
+
+// interrupted is a read deadline in the past.
+var interrupted = time.Unix(1, 0)
+
+// disconnect ends the connection of a client that the ledger has removed. If the client has sent something meanwhile, it keeps
+// the connection until that is answered.
+func (c *guardedConn) disconnect(reason intake.Reason) {
+	switch c.guard.config.Ledger.Turn(c.client) {
+	case intake.Closing, intake.Receiving:
+		c.closeNow(reason)
+		return
+	}
+	c.mu.Lock()
+	switch {
+	case !c.reading:
+		c.keep()
+	case len(c.requests) == 0 && !c.between:
+		c.mu.Unlock()
+		c.closeNow(reason) // in the middle of a header
+		return
+	default:
+		c.ending = reason
+		_ = c.Conn.SetReadDeadline(interrupted) // fails only if the connection is closed
+	}
+	c.mu.Unlock()
+}
+
+// closeNow closes the connection of a client. The server sees errors and ends its requests.
+func (c *guardedConn) closeNow(reason intake.Reason) {
+	c.noteCause(CloseCause(reason))
+	c.guard.closed(c.RemoteAddr(), reason, c.guard.config.Ledger.Turn(c.client))
+	_ = c.Conn.Close() // may be closed already
+}
+
+// readArrived looks once more for bytes if disconnect has interrupted the read that returned err.
+func (c *guardedConn) readArrived(p []byte, err error) (int, error) {
+	c.mu.Lock()
+	ending := c.ending
+	c.mu.Unlock()
+	socket, ok := c.Conn.(syscall.Conn)
+	if ending == "" || !ok || !os.IsTimeout(err) {
+		return 0, err
+	}
+	raw, rawErr := socket.SyscallConn()
+	if rawErr != nil {
+		return 0, err
+	}
+	n, readErr := 0, error(nil)
+	// Control, as Read observes the deadline. The socket does not block.
+	if rawErr := raw.Control(func(fd uintptr) { n, readErr = syscall.Read(int(fd), p) }); rawErr != nil {
+		return 0, err
+	}
+	switch {
+	case n > 0:
+		return n, nil
+	case n == 0:
+		return 0, io.EOF
+	case readErr == syscall.ECONNRESET: //nolint:errorlint // as the system call returns it
+		return 0, readErr
+	}
+	return 0, err
+}
+
+// endRead ends a read and returns why it ends the connection; empty if it does not. arrived means that it has read something.
+func (c *guardedConn) endRead(arrived bool) intake.Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.ending != "" && arrived {
+		c.ending = ""
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only if the connection is closed
+		c.keep()
+	}
+	return c.ending
+}
+
+// keep takes the removal of the client from the ledger back. The caller holds the lock.
+func (c *guardedConn) keep() {
+	if c.cause == "" { // otherwise the connection is closed or about to be
+		c.closing = true
+		c.guard.config.Ledger.Keep(c.client)
+	}
+}
+
+// announceClose tells the client if the response is the last of the connection.
+func (c *guardedConn) announceClose(header http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		header.Set("Connection", "close")
+	}
+}
--- a/internal/httpserver/guard_test.go
+++ b/internal/httpserver/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -46,6 +47,12 @@
 }
 
 func startGuarded(t *testing.T, budgets intake.Budgets, limits config.ClientLimits, handler http.HandlerFunc) *guarded {
+	t.Helper()
+	return startGuardedOn(t, func(l net.Listener) net.Listener { return l }, budgets, limits, handler)
+}
+
+// startGuardedOn is startGuarded with a listener below the guard.
+func startGuardedOn(t *testing.T, wrap func(net.Listener) net.Listener, budgets intake.Budgets, limits config.ClientLimits, handler http.HandlerFunc) *guarded {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -67,11 +74,18 @@
 	server := &http.Server{Handler: handler}
 	g.guard.Attach(server)
 	g.server = New("test", server)
-	go func() { _ = g.server.Serve(wrappedListener{g.guard.Listen(listener)}) }()
+	go func() { _ = g.server.Serve(wrappedListener{g.guard.Listen(wrap(listener))}) }()
 	t.Cleanup(func() { _ = g.server.Close() })
 	return g
 }
 
+// closedFor returns the reasons for which connections were closed.
+func (g *guarded) closedFor() []intake.Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.reasons)
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
