httpserver: a request that finds no room doesn't end those before it

Callers saw a closed connection instead of an answer: requests that were running lost their connection when one sent behind them found no room for its header within a second, and a chunked body without room was never answered.

Cause: the reader that gave up closed the connection, and dropped the bytes of its last read, without looking at the requests in front.

Change: what has arrived is still served. The next read fails, and only after the requests before are answered, as net/http cancels the running request when a read fails; the last response announces the close. A body without room fails its own read, and the sidecar refuses the request with 503, not run.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -33,7 +33,7 @@
 	// smallBuffers is set before the connection is used.
 	smallBuffers bool
 	framer       intake.Framer
-	// failed, completed and headerCost belong to the reading goroutine: the error that ends the connection, whether the
+	// failed, completed and headerCost belong to the reading goroutine: the error that ends the next read, whether the
 	// bytes being accounted for end a header or body, and the cost of the header that is being read with what is charged.
 	failed                    error
 	completed                 bool
@@ -59,7 +59,7 @@
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	if c.failed != nil {
-		return 0, c.failed
+		return 0, c.awaitEarlierResponses()
 	}
 	ledger := c.guard.config.Ledger
 	c.mu.Lock()
@@ -86,10 +86,7 @@
 		ledger.EndRead(c.client, n, false, now)
 		c.framer.Feed(p[:n], c)
 		if c.failed != nil {
-			if errors.Is(c.failed, ErrNoRoom) {
-				c.closeNow(intake.NoRoom)
-			}
-			return 0, c.failed // the bytes are lost, so nothing more can be read
+			c.endAfterResponses() // what has arrived before is still served
 		}
 	}
 	if n > 0 && c.completed {
@@ -207,6 +204,7 @@
 			request.held[intake.BodyBytes] = body
 		}
 	}
+	request.noRoom = request.noRoom || c.failed != nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests = append(c.requests, request)
--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -46,6 +46,35 @@
 	_ = c.Conn.Close() // may be closed already
 }
 
+// endAfterResponses makes the response to the last request that was read the last of the connection.
+func (c *guardedConn) endAfterResponses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
+// awaitEarlierResponses returns the error of a read after one that found no room, once it does not cost the requests before:
+// net/http cancels the running request when a read fails. A request whose body found no room sees the error at once, and
+// its handler answers.
+func (c *guardedConn) awaitEarlierResponses() error {
+	for {
+		c.mu.Lock()
+		waiting, deadline, closed := len(c.requests), c.readDeadline, c.cause != ""
+		incomplete := waiting == 1 && !c.requests[0].complete
+		c.mu.Unlock()
+		switch {
+		case closed || incomplete:
+			return c.failed
+		case waiting == 0:
+			c.closeNow(intake.NoRoom)
+			return c.failed
+		case !deadline.IsZero() && !time.Now().Before(deadline):
+			return os.ErrDeadlineExceeded
+		}
+		time.Sleep(roomPollInterval)
+	}
+}
+
 // readArrived looks once more for bytes if disconnect has interrupted the read that returned err.
 func (c *guardedConn) readArrived(p []byte, err error) (int, error) {
 	c.mu.Lock()
@@ -96,11 +125,11 @@
 	}
 }
 
-// announceClose tells the client if the response is the last of the connection.
+// announceClose tells the client if the response to the first request is the last of the connection.
 func (c *guardedConn) announceClose(header http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing && len(c.requests) <= 1 {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/httpserver/end_test.go
+++ b/internal/httpserver/end_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 
 	"github.com/cowslipglade/cowslipglade/config"
 	"github.com/cowslipglade/cowslipglade/intake"
+	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 )
 
 // heldListener accepts connections whose reads can be held.
@@ -144,3 +147,48 @@
 	_, err := reader.ReadByte()
 	must.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against requests that are running being ended, as there is no room for one behind them on their connection.
+func TestRequestBeforeOneWithoutRoomIsAnswered(t *testing.T) {
+	header := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", 200)
+	for name, next := range map[string]struct {
+		text   string
+		status int
+	}{
+		"whole header":        {header + "\r\n", http.StatusServiceUnavailable},
+		"part of a header":    {header, 0},
+		"header in two reads": {header + strings.Repeat("a", 3000) + "\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			budgets := smallVM
+			budgets.Amounts[intake.HeaderBytes] = 0
+			proceed := make(chan struct{})
+			look := pipeline.New(pipeline.Config{MaxPerConnection: 1, MaxTotal: 1, Start: func(context.Context, *http.Request) pipeline.Result { return nil }})
+			g := startGuardedOn(t, nil, budgets, config.ClientLimits{}, func(w http.ResponseWriter, r *http.Request) {
+				<-proceed
+				if r.Context().Err() != nil {
+					w.WriteHeader(http.StatusBadGateway) // what the request led to was canceled
+					return
+				}
+				readBody(w, r)
+			}, look.Listener)
+			client, reader := g.dial(get)
+			time.Sleep(20 * time.Millisecond)
+			_, err := io.WriteString(client, next.text)
+			must.NoError(t, err)
+			time.Sleep(chargeWait + 200*time.Millisecond)
+			close(proceed)
+			must.Eq(t, http.StatusOK, status(reader))
+			must.Eq(t, next.status, status(reader))
+		})
+	}
+}
+
+// Guards against a request that is being read being ended without a response, as there is no room for its body.
+func TestBodyWithoutRoomIsAnswered(t *testing.T) {
+	budgets := smallVM
+	budgets.Amounts[intake.BodyBytes] = 0
+	g := startGuarded(t, budgets, config.ClientLimits{}, readBody)
+	_, reader := g.dial("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + strings.Repeat("a", 0x4000) + "\r\n0\r\n\r\n")
+	must.Eq(t, http.StatusBadRequest, status(reader))
+}
--- a/internal/httpserver/guard_test.go
+++ b/internal/httpserver/guard_test.go
@@ -48,11 +48,13 @@
 
 func startGuarded(t *testing.T, budgets intake.Budgets, limits config.ClientLimits, handler http.HandlerFunc) *guarded {
 	t.Helper()
-	return startGuardedOn(t, func(l net.Listener) net.Listener { return l }, budgets, limits, handler)
+	return startGuardedOn(t, nil, budgets, limits, handler)
 }
 
-// startGuardedOn is startGuarded with a listener below the guard.
-func startGuardedOn(t *testing.T, wrap func(net.Listener) net.Listener, budgets intake.Budgets, limits config.ClientLimits, handler http.HandlerFunc) *guarded {
+// startGuardedOn is startGuarded with a listener below the guard, if it is not nil, and others above it.
+func startGuardedOn(t *testing.T, below func(net.Listener) net.Listener, budgets intake.Budgets, limits config.ClientLimits, handler http.HandlerFunc,
+	above ...func(net.Listener) net.Listener,
+) *guarded {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -72,9 +74,16 @@
 		},
 	})
 	server := &http.Server{Handler: handler}
+	if below != nil {
+		listener = below(listener)
+	}
+	listener = g.guard.Listen(listener)
+	for _, wrap := range above {
+		listener = wrap(listener)
+	}
 	g.guard.Attach(server)
 	g.server = New("test", server)
-	go func() { _ = g.server.Serve(wrappedListener{g.guard.Listen(wrap(listener))}) }()
+	go func() { _ = g.server.Serve(wrappedListener{listener}) }()
 	t.Cleanup(func() { _ = g.server.Close() })
 	return g
 }
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -306,6 +306,9 @@
 	if e.abort.Err() != nil {
 		return call.NewRefusal(call.CodeDraining, call.NotRun, "node %s stopped before the body arrived", n.settings().Node)
 	}
+	if errors.Is(err, httpserver.ErrNoRoom) {
+		return call.NewRefusal(call.CodeOverloaded, call.NotRun, "too many request bodies are being read")
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return call.NewRefusal(call.CodeDeadline, call.NotRun, "request body did not arrive within the deadline")
 	}
