peer: a queued call with a body ends when its sender has gone

Cause: net/http watches a connection for its end only after the body of the request has been read. A destination read the body of a call on an idempotent route when the call was sent to the upstream, so a call with a body waited in the queue without any notice that its sender had closed the connection. It got its slot, was sent, and only the read of its body showed that nobody waited. When many calls are canceled at once, the slots that they free go to the canceled ones that wait. Calls without a body, and those that reserve a slot first, were not affected.

Change: a body of declared length of up to call.BufferLimit, which the sender has in memory and sends with the head, is read before the call is queued, in the Acceptor and in the Server of cowslipd. The end of its sender then cancels the context that the queue waits for.

Not covered: bodies above the limit, which are not read ahead.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -309,7 +309,10 @@
 			return bufferIncoming(&incoming.Request)
 		}
 	}
-	response, err := a.handler.HandleForwarded(ctx, incoming, reserved)
+	var response *call.Response
+	if err = bufferDeclared(&incoming.Request); err == nil {
+		response, err = a.handler.HandleForwarded(ctx, incoming, reserved)
+	}
 	meta := &callv1.AnswerMetadata{CallId: incoming.CallID}
 	if err != nil {
 		refusal := call.AsRefusal(err)
@@ -358,6 +361,20 @@
 	return nil
 }
 
+// bufferDeclared reads a body of a declared length that fits into memory, which its sender has sent with the head. Only after
+// the end of a body does net/http watch the connection, so a call that waits with an unread one would outlast its sender.
+func bufferDeclared(req *call.Request) error {
+	if req.ContentLength <= 0 || req.ContentLength > call.BufferLimit {
+		return nil
+	}
+	data, _, err := call.BufferBody(req.Body, req.ContentLength)
+	if err != nil {
+		return call.NewRefusal(call.CodeIncompleteBody, call.NotRun, "%v", err)
+	}
+	req.Body = call.BytesBody(data)
+	return nil
+}
+
 // decodeUnsignedContext returns the call context of a request. Method and target are those of the request line.
 func decodeUnsignedContext(r *http.Request, now time.Time) (*Incoming, error) {
 	data, err := base64.RawURLEncoding.DecodeString(r.Header.Get(headerContext))
--- a/peer/server.go
+++ b/peer/server.go
@@ -68,6 +68,10 @@
 	_ = body.SetDeadline(incoming.Deadline.Add(deadlineGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), incoming.Deadline)
 	defer cancel()
+	if err := bufferDeclared(&incoming.Request); err != nil {
+		s.writeRefusal(w, incoming.CallID, call.AsRefusal(err))
+		return
+	}
 	response, err := s.handler.HandlePeer(ctx, incoming)
 	if err != nil {
 		s.writeRefusal(w, incoming.CallID, call.AsRefusal(err))
