admission: a caller whose context has ended gets no slot

Callers that had left took slots and turns of the pace from those that waited, as many as were canceled at once: each freed slot went to the next canceled one, until each had been seen to have ended.

Cause: a waiter selects between its decision and the end of its context, and Go picks at random if both are ready. A busy process makes that likely, since the canceled calls that run free the slots for the canceled calls that wait. A free slot was given without a look at the context.

Change: the context is checked on arrival and once a slot was granted; the slot is passed on as for a caller that leaves the queue.

No call reached an upstream by this alone: DirectClient.Run and http.Transport check the context once more.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -71,6 +71,10 @@
 		defer g.mu.Unlock()
 		return nil, g.refusal(now, Withdrawn)
 	}
+	if ctx.Err() != nil {
+		defer g.mu.Unlock()
+		return nil, g.refusal(now, endReason(ctx))
+	}
 	if g.queue.TryStart(now, item) {
 		s := g.takeSlot(now, item)
 		g.mu.Unlock()
@@ -110,6 +114,9 @@
 	case <-ctx.Done():
 		return nil, g.abandon(ctx, w)
 	}
+	if w.State == Running && ctx.Err() != nil { // select picks one of two ready channels at random
+		return nil, g.abandon(ctx, w)
+	}
 	withdrawn := w.State == Running && g.withdrawn(&w.Item)
 	now := g.cfg.Now()
 	g.mu.Lock()
@@ -128,10 +135,7 @@
 // abandon removes the item after ctx has ended, and frees the slot if the item was started in the
 // meantime.
 func (g *Gate) abandon(ctx context.Context, w *waiter) error {
-	reason := Canceled
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = DeadlinePassed
-	}
+	reason := endReason(ctx)
 	now := g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -142,6 +146,14 @@
 	return g.refusal(now, reason)
 }
 
+// endReason returns the reason of a refusal for a context that has ended.
+func endReason(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return DeadlinePassed
+	}
+	return Canceled
+}
+
 func (g *Gate) refusal(now time.Time, reason Reason) error {
 	return g.queue.Refusal(now, reason, g.cfg.Random())
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -165,3 +165,24 @@
 		}
 	})
 }
+
+// A caller whose context has ended gets no slot, even if one was granted at the same moment, and frees it for the next.
+func TestGateEndedCallerGetsNoSlot(t *testing.T) {
+	g := newTestGate(t, 1, nil)
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		release, err := g.Acquire(ctx, &Item{})
+		must.NoError(t, err)
+		_, err = g.AcquireQueued(ctx, &Item{}, func() {
+			cancel()
+			release(Succeeded)
+		})
+		must.Error(t, err, must.Sprint("a slot for a caller that had ended"))
+		must.Eq(t, call.CodeCanceled, call.AsRefusal(err).Code)
+		must.True(t, g.Idle())
+		_, err = g.Acquire(ctx, &Item{})
+		must.Error(t, err, must.Sprint("a free slot for a caller that had ended"))
+		must.Eq(t, call.CodeCanceled, call.AsRefusal(err).Code)
+		must.True(t, g.Idle())
+	}
+}
