peer: a call whose context has ended is not sent

Callers that had left were served: a call of which the context had ended before it had a connection was sent to another node nevertheless, and the connection was closed after that. The destination ran it, or queued it, until it saw the close.

Cause: Forward did not look at the context between the choice of a destination and the write. CloseAfter of an ended context closes on another goroutine, which usually comes after the write. Such a call counted as "may have run", and if a new connection was to be opened or a reservation awaited, as a failed contact, for which the picker avoids the destination for 0.5 s or more. DirectClient did look, but closed a pooled connection for it.

Change: Pool.get takes no connection for an ended context, Forward checks it once more after CloseAfter, and the refusal is "canceled" or "deadline", not run. A context that ends after that check still races with the write; no check can prevent that.

TestEndedCallIsNotSent failed ("may_have_run" in place of "not_run" on a pooled connection, "peer_failed" in place of "canceled" on a new one), TestDirectEndedCallKeepsConnection with 2 connections in place of 1. Both pass 20 of 20 times, with -race.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -120,6 +120,9 @@
 // get returns the most recently used connection that is fit, or a new one. fit is called with the lock held.
 func (p *Pool) get(ctx context.Context, address string, maxIdleTime time.Duration, fit func(*Conn) bool) (*Conn, error) {
 	for {
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrDial, err) // the caller would close the idle connection
+		}
 		c := p.takeIdle(address, min(maxIdleTime, p.config.MaxIdleTime), fit)
 		if c == nil {
 			return p.dial(ctx, address)
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -90,9 +90,13 @@
 	conn, err := f.pool.Get(dialCtx, to.Address, forwardMaxIdleTime)
 	cancelDial()
 	if err != nil {
-		return nil, call.NewRefusal(call.CodePeerFailed, call.NotRun, "%v", err)
+		return nil, unsentRefusal(ctx, err)
 	}
 	conn.CloseAfter(ctx)
+	if err := ctx.Err(); err != nil { // CloseAfter closes on another goroutine, perhaps after the request was written
+		conn.Close()
+		return nil, unsentRefusal(ctx, err)
+	}
 	response, err := f.exchange(conn, to, req, wait)
 	if err != nil {
 		if refusal := (*call.Refusal)(nil); !errors.As(err, &refusal) {
@@ -106,6 +110,19 @@
 	return response, nil
 }
 
+// unsentRefusal returns the refusal of a call of which nothing was sent that could run. The end of its context says nothing
+// about the destination.
+func unsentRefusal(ctx context.Context, err error) *call.Refusal {
+	code := call.CodePeerFailed
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code = call.CodeDeadline
+	case ctx.Err() != nil:
+		code = call.CodeCanceled
+	}
+	return call.NewRefusal(code, call.NotRun, "%v", err)
+}
+
 // forwardRefusal converts an error of exchange into a refusal. Once sending the body has started, the call may
 // have run.
 func forwardRefusal(ctx context.Context, err error) *call.Refusal {
@@ -114,7 +131,7 @@
 	case errors.As(err, &refusal):
 		return refusal
 	case errors.Is(err, ErrNoReservation):
-		return call.NewRefusal(call.CodePeerFailed, call.NotRun, "%v", err)
+		return unsentRefusal(ctx, err)
 	case errors.Is(err, httpconn.ErrBody):
 		return call.NewRefusal(call.CodeIncompleteBody, call.MayHaveRun, "%v", err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/peer/gone_test.go
+++ b/peer/gone_test.go
@@ -59,3 +59,40 @@
 		}
 	}
 }
+
+// A call whose context has ended is not sent, does not use up a pooled connection and does not count as a failure of the
+// destination.
+func TestEndedCallIsNotSent(t *testing.T) {
+	for name, pooled := range map[string]bool{"new connection": false, "pooled connection": true} {
+		t.Run(name, func(t *testing.T) {
+			const ended = 50
+			requests := make(chan string, ended+2)
+			address, connections, _ := startAcceptor(t, acceptor(func(ctx context.Context, incoming *Incoming, reserved func() error) (*call.Response, error) {
+				requests <- incoming.RequestID
+				return echo(ctx, incoming, reserved)
+			}))
+			f := NewForwarder("n1")
+			defer f.Close()
+			send := func(ctx context.Context, id string) error {
+				req := forwardRequest(true, "")
+				req.RequestID = id
+				_, err := f.Forward(ctx, Destination{Address: address}, req, Wait{Contact: time.Second, Slot: time.Second})
+				return err
+			}
+			if pooled {
+				must.NoError(t, send(t.Context(), "first"))
+				must.Eq(t, "first", <-requests)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			for range ended {
+				refusal := call.AsRefusal(send(ctx, "ended"))
+				must.Eq(t, call.CodeCanceled, refusal.Code)
+				must.Eq(t, call.NotRun, refusal.Outcome)
+			}
+			must.NoError(t, send(t.Context(), "last"))
+			must.Eq(t, "last", <-requests)
+			must.Eq(t, 1, connections.Load())
+		})
+	}
+}
--- a/upstream/direct_test.go
+++ b/upstream/direct_test.go
@@ -449,3 +449,22 @@
 	must.Eq(t, 1, connections.Load())
 	must.Eq(t, 0, d.Avoided())
 }
+
+// A call whose context has ended leaves the pooled connection to others.
+func TestDirectEndedCallKeepsConnection(t *testing.T) {
+	address, connections := rawUpstream(t, func(_, request int) string { return reply(fmt.Sprint("r", request), "") })
+	d := newDirectClient()
+	defer d.Close()
+	_, err := runDirect(t, d, address, "r1", "", true)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = d.Run(ctx, address, &call.Request{
+		Context: call.Context{RequestID: "ended", Idempotent: true, Deadline: time.Now().Add(time.Second)}, Method: http.MethodGet, Target: "/", Host: "h",
+	})
+	must.ErrorIs(t, err, ErrNotConnected)
+	must.ErrorIs(t, err, context.Canceled)
+	_, err = runDirect(t, d, address, "r2", "", true)
+	must.Eq(t, 1, connections.Load())
+	must.NoError(t, err)
+}
