sidecar: a call that ends before it is sent says nothing about its destination

Callers that stayed paid for those that left: an upstream, or another node, was avoided for 0.5 s to 2 s, and its failure domain suspected, because a call for it had been canceled or had reached its deadline just before it was sent. Upstreams with a pace lost a turn for each such call.

Cause: a call with a slot was not checked until DirectClient.Run, whose error for an ended context is the one for an upstream that cannot be reached (no_upstream). The picker counted that as Unreachable. The reverse too: a deadline that passed before the send counted as an answer of the destination, so an unreachable one was tried again.

Change: awaitSend takes no turn for an ended context; upstreamRefusal and awaitPace tell the end of the context from a missing upstream; the result of an attempt that has not run and whose context has ended is Abandoned, which the picker ignores. A call that could not connect counts as Ignored at the gate, also if the reason was a deadline.

--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		n.handleUpstreamError(ctx, u, err)
 		release(admissionErrorResult(err))
-		refusal := upstreamRefusal(err)
+		refusal := upstreamRefusal(ctx, err)
 		load := u.load(time.Now())
 		refusal.Load = &load
 		return nil, refusal
@@ -271,9 +271,11 @@
 // admissionErrorResult returns the admission result of a failed call.
 func admissionErrorResult(err error) admission.Result {
 	switch {
+	case errors.Is(err, upstream.ErrNotConnected): // may be a deadline too, but the upstream got nothing
+		return admission.Ignored
 	case errors.Is(err, context.DeadlineExceeded):
 		return admission.TimedOut
-	case errors.Is(err, upstream.ErrCanceled), errors.Is(err, upstream.ErrRequestBody), errors.Is(err, upstream.ErrNotConnected):
+	case errors.Is(err, upstream.ErrCanceled), errors.Is(err, upstream.ErrRequestBody):
 		return admission.Ignored
 	}
 	return admission.Failed
@@ -286,8 +288,10 @@
 	return admission.Succeeded
 }
 
-func upstreamRefusal(err error) *call.Refusal {
+func upstreamRefusal(ctx context.Context, err error) *call.Refusal {
 	switch {
+	case errors.Is(err, upstream.ErrNotConnected) && ctx.Err() != nil:
+		return endedRefusal(ctx, "before the call was sent to the upstream")
 	case errors.Is(err, upstream.ErrNotConnected):
 		return call.NewRefusal(call.CodeNoUpstream, call.NotRun, "%v", err)
 	case errors.Is(err, quarantine.ErrQuarantined):
@@ -302,6 +306,14 @@
 	return call.NewRefusal(call.CodeUpstreamFailed, call.MayHaveRun, "%v", err)
 }
 
+// endedRefusal returns the refusal of a call that has not run and whose context has ended.
+func endedRefusal(ctx context.Context, when string) *call.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return call.NewRefusal(call.CodeDeadline, call.NotRun, "deadline passed %s", when)
+	}
+	return call.NewRefusal(call.CodeCanceled, call.NotRun, "canceled %s", when)
+}
+
 // releasingBody releases the slot of a call when its streamed response is closed. A read error makes the
 // call a failure.
 type releasingBody struct {
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -254,6 +254,9 @@
 	}
 	refusal := call.AsRefusal(err)
 	result.Load, result.Outcome = refusal.Load, balanceOutcome(refusal)
+	if refusal.Outcome == call.NotRun && ctx.Err() != nil {
+		result.Outcome = balance.Abandoned // by this node, whatever the destination would have done
+	}
 	n.picker.Done(attempt.Service, choice.ID, attempt.Route, result, end)
 	n.recordLimits(d.entry, choice.Node, refusal.Load, refusal.Limits, end)
 	if event := n.log.event("attempt_failed"); event != nil {
--- a/sidecar/warmup.go
+++ b/sidecar/warmup.go
@@ -84,24 +84,27 @@
 // awaitSend blocks until a request may be sent to the upstream, and counts it.
 func (s *upstreamState) awaitSend(ctx context.Context) error {
 	for {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		wait := s.pacer.Send(time.Now())
 		if wait == 0 {
 			return nil
 		}
 		s.node.metrics.paced.Add("send_held", 1)
 		clock.Sleep(ctx, wait)
-		if err := ctx.Err(); err != nil {
-			return err
-		}
 	}
 }
 
 // awaitPace delays a call that has a slot until it may be sent. Most calls need not wait: their start was paced. The failure
 // domain may have been evacuated since the call came.
 func (n *Node) awaitPace(ctx context.Context, deadline time.Time) *call.Refusal {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	paceCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if err := n.local.awaitSend(ctx); err != nil {
+	if err := n.local.awaitSend(paceCtx); err != nil {
+		if ctx.Err() != nil {
+			return endedRefusal(ctx, "before the pace let the call through")
+		}
 		return call.NewRefusal(call.CodeOverloaded, call.NotRun, "upstream is cold: %v", err)
 	}
 	return n.evacuation.refuseLocal()
