upstream: a health response without a request is not the one to the next request

What callers saw: nothing that was traced. A node could hold a cold upstream for warm, and send it more than its pace allows, for as long as the health connection lasted: each request was answered at once with the response to the one before it.

Cause: the reader of a HealthConn kept one response, also if no request was waiting for it. Only a second one broke the connection.

Change: the reader knows whether a response is awaited, and closes the connection if none is. One that comes while a request waits can't be told from its response; health requests have no ID.

--- a/upstream/health.go
+++ b/upstream/health.go
@@ -23,6 +23,8 @@
 	responses chan *httpconn.Response
 	broken    chan struct{}
 	closeOnce sync.Once
+	// awaiting means that a request has been sent whose response has not been read.
+	awaiting atomic.Bool
 	// announced means that the upstream has announced the close of the connection.
 	announced atomic.Bool
 	err       error // set before broken is closed
@@ -50,12 +52,16 @@
 			h.fail(err)
 			return
 		}
+		if !h.awaiting.CompareAndSwap(true, false) {
+			h.fail(errUnsolicited)
+			return
+		}
 		if response.EndsConnection() {
 			h.announced.Store(true)
 		}
 		select {
 		case h.responses <- response:
-		default:
+		default: // the response to a request that was given up
 			h.fail(errUnsolicited)
 			return
 		}
@@ -91,6 +97,7 @@
 
 func (h *HealthConn) request(path string) error {
 	head := httpconn.Head{Method: http.MethodGet, Target: path, Host: h.address, Header: http.Header{}}
+	h.awaiting.Store(true)
 	err := h.conn.WriteHead(&head)
 	if err == nil {
 		err = h.conn.Flush()
