pipeline: start nothing behind a request that net/http may reject

Callers that sent requests ahead saw the connection close after a 400, without a response to the requests behind it, which sound upstreams had run.

Cause: the look-ahead parses with http.ReadRequest. net/http checks more before it calls a handler (Host, names and values of fields), responds with 400 and closes the connection. The first request of a connection was not parsed at all before others were started behind it.

Evidence, before: TestPipelinedBehindRejectedRequestDoNotRun, "malformed host: 3 requests at the upstream, responses: 200 400 closed", "space in a field name: 4 requests at the upstream" (1 is right in both); TestNothingStartsBehindRejectedRequest, "expected slice to be empty, len(slice): 2, bad target".

Fix: requests are started behind the first one only once its handler has been called, which net/http does after its checks, and the others must pass the same checks. The start moves by the time that net/http takes to parse one header.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -18,6 +18,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -114,7 +116,9 @@
 	opaque bool
 	// parsed counts requests whose end was found, served those that handlers have answered.
 	parsed, served int
-	early          []earlyRequest
+	// entered means that net/http has accepted the first request that is not answered and has called its handler.
+	entered bool
+	early   []earlyRequest
 }
 
 type earlyRequest struct {
@@ -250,7 +254,11 @@
 			break
 		}
 		header := rest[:end+len(headerEnd)]
-		if !isSimple(header) || c.parsed > c.served && !c.startEarly(header) {
+		behind := c.parsed > c.served
+		if behind && !c.entered {
+			break // net/http may reject the request before it and close the connection
+		}
+		if !isSimple(header) || behind && !c.startEarly(header) {
 			c.stopLookAhead()
 			return
 		}
@@ -295,10 +303,28 @@
 	return true
 }
 
-// startEarly starts a request before its turn and reports whether it could be parsed.
+// accepted reports whether net/http certainly accepts a request, which it checks more strictly than http.ReadRequest does.
+func accepted(r *http.Request) bool {
+	if r.Host == "" || !httpguts.ValidHostHeader(r.Host) {
+		return false
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// startEarly starts a request before its turn and reports whether it did.
 func (c *Conn) startEarly(header []byte) bool {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
-	if err != nil || r.ContentLength != 0 {
+	if err != nil || r.ContentLength != 0 || !accepted(r) {
 		return false
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
@@ -326,6 +352,13 @@
 func (c *Conn) take(r *http.Request) Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.entered = true
+	result := c.takeFirst(r)
+	c.scan(nil)
+	return result
+}
+
+func (c *Conn) takeFirst(r *http.Request) Result {
 	if len(c.early) == 0 {
 		return nil
 	}
@@ -348,9 +381,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served++
-	if !c.opaque {
-		c.scan(nil)
-	}
+	c.entered = false
+	c.scan(nil)
 }
 
 func (c *Conn) dropAll() {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -150,3 +150,26 @@
 	defer r.mu.Unlock()
 	must.SliceLen(t, 10, r.handled)
 }
+
+// Guards against starting requests behind one that net/http has not accepted: it may reject it and close the connection.
+func TestNothingStartsBehindRejectedRequest(t *testing.T) {
+	valid := "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, rejected := range map[string]string{
+		"no host":           "GET /bad HTTP/1.1\r\nNote: a\r\n\r\n",
+		"malformed host":    "GET /bad HTTP/1.1\r\nHost: h<>\r\n\r\n",
+		"two hosts":         "GET /bad HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n",
+		"control character": "GET /bad HTTP/1.1\r\nHost: h\r\nNote: a\x01b\r\n\r\n",
+		"space in a name":   "GET /bad HTTP/1.1\r\nHost: h\r\nNo te: a\r\n\r\n",
+		"no colon":          "GET /bad HTTP/1.1\r\nHost: h\r\nNote\r\n\r\n",
+		"bad target":        "GET /%zz HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		for _, before := range []string{"", valid} {
+			r := startRecorder(t, 4)
+			close(r.hold)
+			r.exchange(t, []string{before + rejected + strings.Repeat(valid, 2)})
+			r.mu.Lock()
+			must.SliceEmpty(t, r.early, must.Sprint(name, " behind ", len(before)))
+			r.mu.Unlock()
+		}
+	}
+}
