pipeline: start no request whose header is above the operators' limit

Callers that sent requests ahead saw the connection close after a 431, without a response to the requests behind it, which sound upstreams had run. The refused request had run, too.

Cause: the look-ahead knew only its own limit of 16 KiB. The listener refuses a header above maxHeaderBytes and 1 KiB in its turn and closes the connection.

Evidence, before: TestPipelinedBehindLargeHeaderDoNotRun (limit of 4 KiB, header of 8 KiB as the second of four), 4 requests at upstreams, 1 is right; the client got "200 431 closed" before and after.

Fix: the look-ahead ends at a header above maxHeaderBytes, so that the listener decides first. A limit that is lowered while such a request waits for its turn still ends the connection.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -43,6 +43,9 @@
 	// MaxPerConnection bounds the requests that are started early and not answered on one connection, MaxTotal those of
 	// all connections.
 	MaxPerConnection, MaxTotal int
+	// MaxHeader returns the size in bytes above which the server may refuse a header and close the connection; 0 or nil means
+	// that there is none.
+	MaxHeader func() int64
 }
 
 // Pipeline holds the configuration and state that all connections of a server share.
@@ -56,6 +59,13 @@
 // New returns a Pipeline.
 func New(config Config) *Pipeline { return &Pipeline{config: config} }
 
+func (p *Pipeline) maxHeader() int64 {
+	if p.config.MaxHeader == nil {
+		return 0
+	}
+	return p.config.MaxHeader()
+}
+
 // Stats are counters for operators.
 type Stats struct {
 	// Started counts requests started early, Dropped those of them whose result was not used, Waiting those whose turn has
@@ -323,6 +333,9 @@
 
 // startEarly starts a request before its turn and reports whether it did.
 func (c *Conn) startEarly(header []byte) bool {
+	if limit := c.pipeline.maxHeader(); limit > 0 && int64(len(header)) > limit {
+		return false
+	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
 	if err != nil || r.ContentLength != 0 || !accepted(r) {
 		return false
--- a/sidecar/early.go
+++ b/sidecar/early.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/intake"
 	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 )
 
@@ -24,7 +25,8 @@
 func newPipeline(n *Node) *pipeline.Pipeline {
 	return pipeline.New(pipeline.Config{
 		Start: n.startEarly, MaxPerConnection: maxEarlyPerConnection,
-		MaxTotal: max(minEarlyTotal, int(n.settings().MemoryBytes/earlyMemoryFraction/call.BufferLimit)),
+		MaxTotal:  max(minEarlyTotal, int(n.settings().MemoryBytes/earlyMemoryFraction/call.BufferLimit)),
+		MaxHeader: func() int64 { return n.clientLimits(intake.Requests).HeaderBytes },
 	})
 }
 
--- a/sidecar/early_closed_test.go
+++ b/sidecar/early_closed_test.go
@@ -8,6 +8,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
 // readResponses reads up to count responses and returns their statuses, with "broken" for a body that ends early and "closed"
@@ -50,3 +54,28 @@
 		}
 	}
 }
+
+// Guards against running a request whose header is above the operators' limit, and those behind it: it is refused in its turn,
+// with which the connection ends.
+func TestPipelinedBehindLargeHeaderDoNotRun(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		respond(w, r)
+	}))
+	entry, err := f.store.Get(t.Context(), "op/config")
+	must.NoError(t, err)
+	document := strings.TrimSuffix(fmt.Sprintf(configuration, 2, `"key-1"`, 1000, 1000), "}") + `,"limits":{"maxHeaderBytes":4096}}`
+	_, err = f.store.CompareAndSwap(t.Context(), "op/config", entry.Revision, []byte(document), kvstore.NoLease)
+	must.NoError(t, err)
+	f.eventually(func() error {
+		if _, body := f.vars(f.nodes[0]); !strings.Contains(body, `"configuration_revision": 2`) {
+			return fmt.Errorf("configuration not in force: %s", body)
+		}
+		return nil
+	})
+	large := strings.Replace(pipelined(http.MethodGet, "/read/", 1), "\r\n\r\n", "\r\nNote: "+strings.Repeat("x", 8<<10)+"\r\n\r\n", 1)
+	reader := bufio.NewReader(sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 0), large,
+		pipelined(http.MethodGet, "/read/", 2), pipelined(http.MethodGet, "/read/", 3)))
+	must.Eq(t, "200 431 closed", readResponses(reader, 4))
+	must.Eq(t, 1, f.totalRequests(), must.Sprint("requests at upstreams"))
+}
