sidecar: hold a long response while pipelined requests wait behind it

Callers that sent requests ahead got a truncated response and a closed connection, and no response to the requests behind, all of which sound upstreams had run.

Cause: a response above call.BufferLimit (64 KiB) is streamed. If the upstream, or the stop of the destination, breaks it off, the handler must abort the connection, and the requests that were started early behind it are lost with it. Up to 64 KiB, and where a body without a length breaks within its first 64 KiB, there was a 502 and the connection stayed.

Fix: a response that others wait behind is read into memory before its head is sent, so that a break becomes a 502 (504 at the deadline) and the connection stays. One that does not fit is streamed, and still takes the requests behind with it when it breaks. The whole body is still what the upstream sent: TestPipelinedLongResponsesAreWhole.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -41,7 +41,7 @@
 	// a request that must wait for its turn.
 	Start func(ctx context.Context, r *http.Request) Result
 	// MaxPerConnection bounds the requests that are started early and not answered on one connection, MaxTotal those of
-	// all connections.
+	// all connections with the holds, of which there are at most half as many.
 	MaxPerConnection, MaxTotal int
 	// MaxHeader returns the size in bytes above which the server may refuse a header and close the connection; 0 or nil means
 	// that there is none.
@@ -52,6 +52,7 @@
 type Pipeline struct {
 	config  Config
 	waiting atomic.Int64 // requests started early and not answered
+	held    atomic.Int64
 	started atomic.Int64
 	dropped atomic.Int64
 }
@@ -73,11 +74,31 @@
 	Started int64 `json:"started"`
 	Dropped int64 `json:"dropped"`
 	Waiting int64 `json:"waiting"`
+	// Held is the number of holds, see Pipeline.Hold.
+	Held int64 `json:"held"`
 }
 
 // Stats returns the counters.
 func (p *Pipeline) Stats() Stats {
-	return Stats{Started: p.started.Load(), Dropped: p.dropped.Load(), Waiting: p.waiting.Load()}
+	return Stats{Started: p.started.Load(), Dropped: p.dropped.Load(), Waiting: p.waiting.Load(), Held: p.held.Load()}
+}
+
+// Hold takes the memory that a response to a request started early may have, for a part of a longer one, and reports whether
+// there was room. Release must be called for it.
+func (p *Pipeline) Hold() bool {
+	total := int64(p.config.MaxTotal)
+	if held := p.held.Add(1); held > total/2 || held+p.waiting.Load() > total {
+		p.held.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Release releases what a number of calls of Hold has taken.
+func (p *Pipeline) Release(holds int) { p.held.Add(-int64(holds)) }
+
+func (p *Pipeline) hasRoom() bool {
+	return p.waiting.Load()+p.held.Load() < int64(p.config.MaxTotal)
 }
 
 // Listener returns a listener whose connections look ahead.
@@ -200,7 +221,7 @@
 }
 
 func (c *Conn) hasRoom() bool {
-	return len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.waiting.Load() < int64(c.pipeline.config.MaxTotal)
+	return len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.hasRoom()
 }
 
 func isTimeout(err error) bool {
--- a/sidecar/early_closed_test.go
+++ b/sidecar/early_closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cowslipglade/cowslipglade/call"
 	"github.com/cowslipglade/cowslipglade/kvstore"
 )
 
@@ -79,3 +81,116 @@
 	must.Eq(t, "200 431 closed", readResponses(reader, 4))
 	must.Eq(t, 1, f.totalRequests(), must.Sprint("requests at upstreams"))
 }
+
+// breakingHandler sends a response of size bytes, whole or broken off in its last quarter, if the path contains "long" or "break".
+// Others take a moment, so that requests sent ahead have begun before the first response.
+func breakingHandler(size int, declared bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		breaks := strings.Contains(r.URL.Path, "/break")
+		if !breaks && !strings.Contains(r.URL.Path, "/long") {
+			respond(w, r)
+			return
+		}
+		w.Header().Set("Response-Signature", "signed")
+		if declared {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+		}
+		_, _ = w.Write(make([]byte, size*3/4))
+		w.(http.Flusher).Flush()
+		if breaks {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(make([]byte, size-size*3/4))
+	}
+}
+
+// Guards against losing the requests that wait behind a response that breaks off, at whatever size and place.
+func TestPipelinedBehindBrokenResponse(t *testing.T) {
+	for _, count := range []int{1, 2} {
+		for _, size := range []int{call.BufferLimit, call.BufferLimit + 1, 4 * call.BufferLimit, 1 << 20} {
+			for _, declared := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%d nodes, %d bytes, declared %v", count, size, declared), func(t *testing.T) {
+					f := startFleet(t, count, sameHandler(breakingHandler(size, declared)))
+					for _, at := range []int{0, 2} {
+						var requests, want []string
+						for i := range 8 {
+							path, status := "/read/", "200"
+							if i == at {
+								path, status = "/read/break", "502"
+							}
+							requests, want = append(requests, pipelined(http.MethodGet, path, i)), append(want, status)
+						}
+						reader := bufio.NewReader(sendAhead(t, f.nodes[0], requests...))
+						must.Eq(t, strings.Join(want, " "), readResponses(reader, 8), must.Sprint("broken at ", at))
+					}
+					must.SliceEmpty(t, f.logs.find(`"event":"request_unanswered"`))
+					f.eventually(func() error { return expectNothingHeld(f.nodes[0], f) })
+				})
+			}
+		}
+	}
+}
+
+// Guards against a wrong body where a response is held while others wait behind it, in whole, in part or not at all.
+func TestPipelinedLongResponsesAreWhole(t *testing.T) {
+	for _, size := range []int{call.BufferLimit + 1, 2 * call.BufferLimit, 16*call.BufferLimit - 1, 16 * call.BufferLimit, 16*call.BufferLimit + 1, 5 << 20} {
+		for _, declared := range []bool{true, false} {
+			content := make([]byte, size)
+			for i := range content {
+				content[i] = byte(i % 251)
+			}
+			f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(20 * time.Millisecond)
+				w.Header().Set("Response-Signature", "signed")
+				if declared {
+					w.Header().Set("Content-Length", fmt.Sprint(size))
+				}
+				_, _ = w.Write(content)
+			}))
+			reader := bufio.NewReader(sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 0), pipelined(http.MethodGet, "/read/", 1), pipelined(http.MethodGet, "/read/", 2)))
+			for i := range 3 {
+				response, err := http.ReadResponse(reader, nil)
+				must.NoError(t, err)
+				must.Eq(t, http.StatusOK, response.StatusCode)
+				must.Eq(t, fmt.Sprint("id", i), response.Header.Get("Request-Id"))
+				data, err := io.ReadAll(response.Body)
+				must.NoError(t, err)
+				must.True(t, bytes.Equal(content, data), must.Sprint(size, declared, i, len(data)))
+			}
+			f.eventually(func() error { return expectNothingHeld(f.nodes[0], f) })
+		}
+	}
+}
+
+func expectNothingHeld(n *fleetNode, f *fleet) error {
+	if _, vars := f.vars(n); !strings.Contains(vars, `"waiting":0,"held":0`) {
+		return fmt.Errorf("held: %s", vars)
+	}
+	return nil
+}
+
+// Guards against losing requests that wait behind a response that is broken off by the destination's stop.
+func TestPipelinedBehindResponseAbortedByDestinationStop(t *testing.T) {
+	f := startFleet(t, 2, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "/break") {
+			time.Sleep(100 * time.Millisecond)
+			respond(w, r)
+			return
+		}
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	f.setShutdownTimeout(1500 * time.Millisecond)
+	must.NoError(t, f.nodes[1].node.Heartbeat(f.nodes[1].beat(2, true))) // leaves n0 as the destination
+	time.Sleep(300 * time.Millisecond)
+	reader := bufio.NewReader(sendAhead(t, f.nodes[1], pipelined(http.MethodGet, "/read/long/break", 0),
+		pipelined(http.MethodGet, "/read/", 1), pipelined(http.MethodGet, "/read/", 2)))
+	f.eventually(func() error { return expectRequests(f, 3) })
+	time.Sleep(100 * time.Millisecond)
+	_ = f.nodes[0].stopAndClose()
+	must.Eq(t, "502 200 200", readResponses(reader, 3))
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -70,6 +70,9 @@
 		started.run(w, r)
 	}
 	defer started.end()
+	if started.streams() && pipeline.Waiting(r) {
+		started.hold()
+	}
 	e, response, refusal := started.entry, started.response, started.refusal
 	if refusal != nil && e.incoming != nil && e.incoming.TooLarge() {
 		refusal.Code, refusal.Message = call.CodeBodyTooLarge, "request body is above the limit"
