pipeline: start nothing behind a response that is being streamed

Callers that sent requests while a long response was arriving lost them when it broke off: the connection was closed, and sound upstreams had run them.

Cause: a response with nothing behind it is streamed, and the look-ahead started requests behind it while it was being written.

Fix: a handler seals the connection before it streams. Requests behind wait for their turn, and one that was started in the moment before the seal makes the response held.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -149,7 +149,9 @@
 	parsed, served int
 	// entered means that net/http has accepted the first request that is not answered and has called its handler.
 	entered bool
-	early   []earlyRequest
+	// sealed means that nothing is started behind that request.
+	sealed bool
+	early  []earlyRequest
 }
 
 type earlyRequest struct {
@@ -217,11 +219,17 @@
 func (c *Conn) mayReadAhead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.unread) == 0 || !c.opaque && c.hasRoom() && len(c.unread) < maxHeader
+	if len(c.unread) == 0 {
+		return true
+	}
+	if c.opaque || len(c.unread) >= maxHeader {
+		return false
+	}
+	return c.hasRoom() || c.sealed && len(c.unparsed)+readSize <= maxHeader
 }
 
 func (c *Conn) hasRoom() bool {
-	return len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.hasRoom()
+	return !c.sealed && len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.hasRoom()
 }
 
 func isTimeout(err error) bool {
@@ -415,7 +423,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served++
-	c.entered = false
+	c.entered, c.sealed = false, false
 	c.scan(nil)
 }
 
@@ -439,3 +447,21 @@
 	defer c.mu.Unlock()
 	return len(c.early) > 0
 }
+
+// Seal prevents that requests behind the one that a handler answers are started until its response has been written.
+func Seal(r *http.Request) { seal(r, true) }
+
+// SealLast is Seal if none of them has been started, and reports whether that is so.
+func SealLast(r *http.Request) bool { return seal(r, false) }
+
+func seal(r *http.Request, always bool) bool {
+	c, ok := r.Context().Value(contextKey{}).(*Conn)
+	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := len(c.early) == 0
+	c.sealed = c.sealed || always || last
+	return last
+}
--- a/sidecar/early_closed_test.go
+++ b/sidecar/early_closed_test.go
@@ -194,3 +194,57 @@
 	_ = f.nodes[0].stopAndClose()
 	must.Eq(t, "502 200 200", readResponses(reader, 3))
 }
+
+// Guards against starting requests behind a response that is being streamed, which may break off.
+func TestPipelinedBehindStreamedResponseWait(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "/break") {
+			respond(w, r)
+			return
+		}
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		time.Sleep(500 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}))
+	conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/break", 0))
+	reader := bufio.NewReader(conn)
+	_, err := reader.Peek(1) // the response has begun
+	must.NoError(t, err)
+	for i := range 3 {
+		_, err = io.WriteString(conn, pipelined(http.MethodGet, "/read/", i+1))
+		must.NoError(t, err)
+	}
+	must.Eq(t, "broken", readResponses(reader, 4))
+	must.Eq(t, 1, f.totalRequests(), must.Sprint("requests at the upstream"))
+}
+
+// Guards against upstreams that work on after a client has left that had sent requests behind a response being streamed.
+func TestPipelinedClientLeavesDuringStream(t *testing.T) {
+	ended := make(chan struct{})
+	f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Response-Signature", "signed")
+		w.Header().Set("Content-Length", fmt.Sprint(4*call.BufferLimit))
+		_, _ = w.Write(make([]byte, 2*call.BufferLimit))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(ended)
+	}))
+	conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/long/", 0))
+	_, err := io.ReadFull(conn, make([]byte, 2*call.BufferLimit))
+	must.NoError(t, err)
+	for i := range 3 {
+		_, err = io.WriteString(conn, pipelined(http.MethodGet, "/read/long/", i+1))
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	must.NoError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the upstream still runs the request")
+	}
+	must.Eq(t, 1, f.totalRequests())
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -70,8 +70,11 @@
 		started.run(w, r)
 	}
 	defer started.end()
-	if started.streams() && pipeline.Waiting(r) {
+	if started.streams() && !pipeline.SealLast(r) {
 		started.hold()
+		if started.streams() {
+			pipeline.Seal(r)
+		}
 	}
 	e, response, refusal := started.entry, started.response, started.refusal
 	if refusal != nil && e.incoming != nil && e.incoming.TooLarge() {
