sidecar: read a long response to an early request before its turn

Callers that sent requests ahead got a failure for a long response (above 64 KiB) whose turn came late, though its upstream had sent it in time.

Cause: the body of a response to a request that was started early stayed unread in the socket until its turn. Upstreams cut off a response that is not read for some seconds; until then it took their memory, and a slot. Before the response was held at its turn, the connection was closed with all requests behind.

Fix: the response is read into the same bounded memory as soon as it arrives. One that does not fit is read as far as it does.

--- a/sidecar/early.go
+++ b/sidecar/early.go
@@ -40,6 +40,8 @@
 
 	response *call.Response
 	refusal  *call.Refusal
+	// tooLong means that the response is longer than what may be held.
+	tooLong bool
 
 	// done is closed when a request that was started early has its result.
 	done chan struct{}
@@ -86,6 +88,9 @@
 	result.entry.early, result.done = true, make(chan struct{})
 	go func() {
 		result.run(nil, r)
+		if result.streams() {
+			result.hold() // upstreams cut off a response that is not read for long
+		}
 		close(result.done)
 		result.mu.Lock()
 		discarded := result.discarded
--- a/sidecar/early_closed_test.go
+++ b/sidecar/early_closed_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -248,3 +249,24 @@
 	}
 	must.Eq(t, 1, f.totalRequests())
 }
+
+// Guards against leaving a long response unread until its turn: upstreams cut off responses that are not read.
+func TestPipelinedLongResponseIsReadBeforeItsTurn(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "/long") {
+			time.Sleep(time.Second)
+			respond(w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		must.NoError(t, err)
+		defer conn.Close()
+		must.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(16<<10))
+		must.NoError(t, conn.SetWriteDeadline(time.Now().Add(500*time.Millisecond)))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nResponse-Signature: signed\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n",
+			r.Header.Get("Request-Id"), 16*call.BufferLimit)
+		_, _ = conn.Write(make([]byte, 16*call.BufferLimit))
+	}))
+	conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 0), pipelined(http.MethodGet, "/read/long", 1), pipelined(http.MethodGet, "/read/", 2))
+	must.Eq(t, "200 200 200", readResponses(bufio.NewReader(conn), 3))
+}
--- a/sidecar/held.go
+++ b/sidecar/held.go
@@ -63,7 +63,7 @@
 // does not fit remains streamed.
 func (s *entryResult) hold() {
 	response := s.response
-	if response.ContentLength > maxHeldPieces*call.BufferLimit {
+	if s.tooLong = s.tooLong || response.ContentLength > maxHeldPieces*call.BufferLimit; s.tooLong {
 		return
 	}
 	held, streamed := &heldBody{pipeline: s.node.pipeline}, response.Body
@@ -77,6 +77,7 @@
 		_ = streamed.Close()
 		response.Body, response.ContentLength, response.Buffered = held, held.bytes, true
 	default:
+		s.tooLong = len(held.pieces) == maxHeldPieces
 		rest := struct {
 			io.Reader
 			io.Closer
