sidecar: answer requests that were read before a stopping node closes their connection

Callers that sent requests ahead to a node in its stop got one response and a closed connection, up to the end of the stop. The others had been read whole.

Cause: a stopping node started nothing early, and sent Connection: close unless early requests were waiting, which then was never so. Requests beyond the bound of 16, or a write behind early reads, were dropped in the same way.

Fix: the look-ahead tells whether it knows of anything that was read behind a request. The connection is closed only if not, and nothing is started from that moment on. Requests are started early in the stop as before it, so that they take no longer; refuseLate refuses those for which there is no time. What follows a request with a body is not known to the look-ahead, so a write in a stop still ends the connection, with what was sent behind it and not passed on.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -145,8 +145,9 @@
 	unparsed []byte
 	// opaque means that the rest of the connection is not looked at.
 	opaque bool
-	// parsed counts requests whose end was found, served those that handlers have answered.
-	parsed, served int
+	// parsed counts requests whose end was found, served those that handlers have answered. left is the index of the first
+	// request that is left to net/http if opaque.
+	parsed, served, left int
 	// entered means that net/http has accepted the first request that is not answered and has called its handler.
 	entered bool
 	// sealed means that nothing is started behind that request.
@@ -312,7 +313,7 @@
 }
 
 // stopLookAhead leaves the rest of the connection to net/http. Requests started early keep their turn.
-func (c *Conn) stopLookAhead() { c.opaque, c.unparsed = true, nil }
+func (c *Conn) stopLookAhead() { c.opaque, c.unparsed, c.left = true, nil, c.parsed }
 
 const longestMethod = "HEAD /"
 
@@ -436,16 +437,21 @@
 	c.early = nil
 }
 
-// Waiting reports whether requests behind the one that a handler answers were started early, so that the connection must
-// not be closed after its response.
-func Waiting(r *http.Request) bool {
+// Last reports whether no request has been read behind the one that a handler answers, so that the connection may be closed
+// after its response. It then prevents that one is started until that has been written. What follows a request that the
+// look-ahead leaves to net/http is not known.
+func Last(r *http.Request) bool {
 	c, ok := r.Context().Value(contextKey{}).(*Conn)
 	if !ok {
-		return false
+		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.early) > 0
+	if len(c.early) > 0 || len(c.unread) > 0 || len(c.unparsed) > 0 || c.parsed > c.served+1 || c.opaque && c.left > c.served {
+		return false
+	}
+	c.sealed = true
+	return true
 }
 
 // Seal prevents that requests behind the one that a handler answers are started until its response has been written.
--- a/sidecar/early.go
+++ b/sidecar/early.go
@@ -73,11 +73,10 @@
 }
 
 // startEarly starts a pipelined request before its turn. It returns nil if the request must wait: a request that must
-// not run twice starts only once all requests before it are answered, and a stopping node starts none ahead, since
-// it closes its connections.
+// not run twice starts only once all requests before it are answered.
 func (n *Node) startEarly(ctx context.Context, r *http.Request) pipeline.Result {
 	active := n.configuration.current.Load()
-	if active == nil || n.stopping.Load() {
+	if active == nil || n.refusingAll.Load() {
 		return nil
 	}
 	if route := active.routes.match(r.Host, r.RequestURI); route == nil || !route.Idempotent {
--- a/sidecar/early_closed_test.go
+++ b/sidecar/early_closed_test.go
@@ -266,3 +266,33 @@
 	conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 0), pipelined(http.MethodGet, "/read/long", 1), pipelined(http.MethodGet, "/read/", 2))
 	must.Eq(t, "200 200 200", readResponses(bufio.NewReader(conn), 3))
 }
+
+// Guards against closing a connection in a stop while requests behind the answered one have been read: started early, beyond the
+// bound on these, or a write that waits for its turn.
+func TestPipelinedDuringStopAreAnswered(t *testing.T) {
+	for _, last := range []string{pipelined(http.MethodGet, "/read/", 90), pipelined(http.MethodPost, "/once/", 91)} {
+		for _, count := range []int{1, 7, 19} {
+			f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(50 * time.Millisecond)
+				respond(w, r)
+			}))
+			conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 80))
+			reader := bufio.NewReader(conn)
+			must.Eq(t, "200", readResponses(reader, 1))
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.nodes[0].node.Stop() }()
+			time.Sleep(300 * time.Millisecond)
+			var requests string
+			for i := range count {
+				requests += pipelined(http.MethodGet, "/read/", i)
+			}
+			_, err := io.WriteString(conn, requests+last)
+			must.NoError(t, err)
+			got := readResponses(reader, count+2)
+			if want := strings.Repeat("200 ", count+1) + "closed"; got != want {
+				t.Errorf("%d requests and %.8q: %s", count, last, got)
+			}
+			must.NoError(t, <-stopped)
+		}
+	}
+}
