pipeline: follow connections also while there is no room for early requests

Callers on a connection that had sent 16 KiB of requests while the memory for early requests was used up got no request started early on it ever after. In a stop, the node would not close such a connection after its response, as it seemed to have sent more.

Cause: without room the look-ahead did not parse at all, so requests that net/http had already answered stayed among those that wait, until there were too many.

Evidence, before: TestConnectionIsFollowedWithoutRoom, 47 of 109 single requests counted as having others behind them, and none of three requests sent ahead started once there was room ("expected slice to not be empty").

Fix: only the start of a request needs room. The request whose turn it is is parsed in any case.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -288,15 +288,15 @@
 		c.unparsed = append(c.unparsed, data...)
 		rest = c.unparsed
 	}
-	for c.hasRoom() {
+	for {
 		end := bytes.Index(rest, headerEnd)
 		if end < 0 {
 			break
 		}
 		header := rest[:end+len(headerEnd)]
 		behind := c.parsed > c.served
-		if behind && !c.entered {
-			break // net/http may reject the request before it and close the connection
+		if behind && (!c.entered || !c.hasRoom()) {
+			break // until it is entered, net/http may reject the request before this one and close the connection
 		}
 		if !isSimple(header) || behind && !c.startEarly(header) {
 			c.stopLookAhead()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -173,3 +173,57 @@
 		}
 	}
 }
+
+// Guards against losing track of connections while there is no room for early requests: those that only send one request at a time
+// would count as having sent more, and would never be looked at again.
+func TestConnectionIsFollowedWithoutRoom(t *testing.T) {
+	var mu sync.Mutex
+	var early []string
+	notLast := 0
+	pipeline := New(Config{MaxPerConnection: 4, MaxTotal: 10, Start: func(_ context.Context, r *http.Request) Result {
+		mu.Lock()
+		defer mu.Unlock()
+		early = append(early, r.RequestURI)
+		return noResult{}
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, done := Take(r)
+		defer done()
+		if strings.HasPrefix(r.RequestURI, "/single") && !Last(r) {
+			mu.Lock()
+			notLast++
+			mu.Unlock()
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	go func() { _ = server.Serve(pipeline.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	send := func(path string, count int) {
+		for i := range count {
+			_, err := fmt.Fprintf(conn, "GET %s/%d HTTP/1.1\r\nHost: h\r\nNote: %s\r\n\r\n", path, i, strings.Repeat("x", 300))
+			must.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusNoContent, response.StatusCode)
+		}
+	}
+	pipeline.waiting.Add(10)
+	send("/single", 2*maxHeader/300)
+	pipeline.waiting.Add(-10)
+	_, err = io.WriteString(conn, strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", 3))
+	must.NoError(t, err)
+	for range 3 {
+		_, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	must.Eq(t, 0, notLast, must.Sprint("single requests with others behind"))
+	must.SliceNotEmpty(t, early)
+}
