--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -18,6 +18,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -39,14 +41,18 @@
 	// a request that must wait for its turn.
 	Start func(ctx context.Context, r *http.Request) Result
 	// MaxPerConnection bounds the requests that are started early and not answered on one connection, MaxTotal those of
-	// all connections.
+	// all connections with the holds, of which there are at most half as many.
 	MaxPerConnection, MaxTotal int
+	// MaxHeader returns the size in bytes above which the server may refuse a header and close the connection; 0 or nil means
+	// that there is none.
+	MaxHeader func() int64
 }
 
 // Pipeline holds the configuration and state that all connections of a server share.
 type Pipeline struct {
 	config  Config
 	waiting atomic.Int64 // requests started early and not answered
+	held    atomic.Int64
 	started atomic.Int64
 	dropped atomic.Int64
 }
@@ -54,6 +60,13 @@
 // New returns a Pipeline.
 func New(config Config) *Pipeline { return &Pipeline{config: config} }
 
+func (p *Pipeline) maxHeader() int64 {
+	if p.config.MaxHeader == nil {
+		return 0
+	}
+	return p.config.MaxHeader()
+}
+
 // Stats are counters for operators.
 type Stats struct {
 	// Started counts requests started early, Dropped those of them whose result was not used, Waiting those whose turn has
@@ -61,11 +74,31 @@
 	Started int64 `json:"started"`
 	Dropped int64 `json:"dropped"`
 	Waiting int64 `json:"waiting"`
+	// Held is the number of holds, see Pipeline.Hold.
+	Held int64 `json:"held"`
 }
 
 // Stats returns the counters.
 func (p *Pipeline) Stats() Stats {
-	return Stats{Started: p.started.Load(), Dropped: p.dropped.Load(), Waiting: p.waiting.Load()}
+	return Stats{Started: p.started.Load(), Dropped: p.dropped.Load(), Waiting: p.waiting.Load(), Held: p.held.Load()}
+}
+
+// Hold takes the memory that a response to a request started early may have, for a part of a longer one, and reports whether
+// there was room. Release must be called for it.
+func (p *Pipeline) Hold() bool {
+	total := int64(p.config.MaxTotal)
+	if held := p.held.Add(1); held > total/2 || held+p.waiting.Load() > total {
+		p.held.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Release releases what a number of calls of Hold has taken.
+func (p *Pipeline) Release(holds int) { p.held.Add(-int64(holds)) }
+
+func (p *Pipeline) hasRoom() bool {
+	return p.waiting.Load()+p.held.Load() < int64(p.config.MaxTotal)
 }
 
 // Listener returns a listener whose connections look ahead.
@@ -112,9 +145,14 @@
 	unparsed []byte
 	// opaque means that the rest of the connection is not looked at.
 	opaque bool
-	// parsed counts requests whose end was found, served those that handlers have answered.
-	parsed, served int
-	early          []earlyRequest
+	// parsed counts requests whose end was found, served those that handlers have answered. left is the index of the first
+	// request that is left to net/http if opaque.
+	parsed, served, left int
+	// entered means that net/http has accepted the first request that is not answered and has called its handler.
+	entered bool
+	// sealed means that nothing is started behind that request.
+	sealed bool
+	early  []earlyRequest
 }
 
 type earlyRequest struct {
@@ -182,11 +220,17 @@
 func (c *Conn) mayReadAhead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.unread) == 0 || !c.opaque && c.hasRoom() && len(c.unread) < maxHeader
+	if len(c.unread) == 0 {
+		return true
+	}
+	if c.opaque || len(c.unread) >= maxHeader {
+		return false
+	}
+	return c.hasRoom() || c.sealed && len(c.unparsed)+readSize <= maxHeader
 }
 
 func (c *Conn) hasRoom() bool {
-	return len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.waiting.Load() < int64(c.pipeline.config.MaxTotal)
+	return !c.sealed && len(c.early) < c.pipeline.config.MaxPerConnection && c.pipeline.hasRoom()
 }
 
 func isTimeout(err error) bool {
@@ -244,13 +288,17 @@
 		c.unparsed = append(c.unparsed, data...)
 		rest = c.unparsed
 	}
-	for c.hasRoom() {
+	for {
 		end := bytes.Index(rest, headerEnd)
 		if end < 0 {
 			break
 		}
 		header := rest[:end+len(headerEnd)]
-		if !isSimple(header) || c.parsed > c.served && !c.startEarly(header) {
+		behind := c.parsed > c.served
+		if behind && (!c.entered || !c.hasRoom()) {
+			break // until it is entered, net/http may reject the request before this one and close the connection
+		}
+		if !isSimple(header) || behind && !c.startEarly(header) {
 			c.stopLookAhead()
 			return
 		}
@@ -265,7 +313,7 @@
 }
 
 // stopLookAhead leaves the rest of the connection to net/http. Requests started early keep their turn.
-func (c *Conn) stopLookAhead() { c.opaque, c.unparsed = true, nil }
+func (c *Conn) stopLookAhead() { c.opaque, c.unparsed, c.left = true, nil, c.parsed }
 
 const longestMethod = "HEAD /"
 
@@ -295,10 +343,31 @@
 	return true
 }
 
-// startEarly starts a request before its turn and reports whether it could be parsed.
+// accepted reports whether net/http certainly accepts a request, which it checks more strictly than http.ReadRequest does.
+func accepted(r *http.Request) bool {
+	if r.Host == "" || !httpguts.ValidHostHeader(r.Host) {
+		return false
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// startEarly starts a request before its turn and reports whether it did.
 func (c *Conn) startEarly(header []byte) bool {
+	if limit := c.pipeline.maxHeader(); limit > 0 && int64(len(header)) > limit {
+		return false
+	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
-	if err != nil || r.ContentLength != 0 {
+	if err != nil || r.ContentLength != 0 || !accepted(r) {
 		return false
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
@@ -326,6 +395,13 @@
 func (c *Conn) take(r *http.Request) Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.entered = true
+	result := c.takeFirst(r)
+	c.scan(nil)
+	return result
+}
+
+func (c *Conn) takeFirst(r *http.Request) Result {
 	if len(c.early) == 0 {
 		return nil
 	}
@@ -348,9 +424,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served++
-	if !c.opaque {
-		c.scan(nil)
-	}
+	c.entered, c.sealed = false, false
+	c.scan(nil)
 }
 
 func (c *Conn) dropAll() {
@@ -362,14 +437,37 @@
 	c.early = nil
 }
 
-// Waiting reports whether requests behind the one that a handler answers were started early, so that the connection must
-// not be closed after its response.
-func Waiting(r *http.Request) bool {
+// Last reports whether no request has been read behind the one that a handler answers, so that the connection may be closed
+// after its response. It then prevents that one is started until that has been written. What follows a request that the
+// look-ahead leaves to net/http is not known.
+func Last(r *http.Request) bool {
 	c, ok := r.Context().Value(contextKey{}).(*Conn)
 	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.early) > 0 || len(c.unread) > 0 || len(c.unparsed) > 0 || c.parsed > c.served+1 || c.opaque && c.left > c.served {
 		return false
 	}
+	c.sealed = true
+	return true
+}
+
+// Seal prevents that requests behind the one that a handler answers are started until its response has been written.
+func Seal(r *http.Request) { seal(r, true) }
+
+// SealLast is Seal if none of them has been started, and reports whether that is so.
+func SealLast(r *http.Request) bool { return seal(r, false) }
+
+func seal(r *http.Request, always bool) bool {
+	c, ok := r.Context().Value(contextKey{}).(*Conn)
+	if !ok {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.early) > 0
+	last := len(c.early) == 0
+	c.sealed = c.sealed || always || last
+	return last
 }
--- a/sidecar/early.go
+++ b/sidecar/early.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/call"
+	"github.com/cowslipglade/cowslipglade/intake"
 	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 )
 
@@ -24,7 +25,8 @@
 func newPipeline(n *Node) *pipeline.Pipeline {
 	return pipeline.New(pipeline.Config{
 		Start: n.startEarly, MaxPerConnection: maxEarlyPerConnection,
-		MaxTotal: max(minEarlyTotal, int(n.settings().MemoryBytes/earlyMemoryFraction/call.BufferLimit)),
+		MaxTotal:  max(minEarlyTotal, int(n.settings().MemoryBytes/earlyMemoryFraction/call.BufferLimit)),
+		MaxHeader: func() int64 { return n.clientLimits(intake.Requests).HeaderBytes },
 	})
 }
 
@@ -38,6 +40,8 @@
 
 	response *call.Response
 	refusal  *call.Refusal
+	// tooLong means that the response is longer than what may be held.
+	tooLong bool
 
 	// done is closed when a request that was started early has its result.
 	done chan struct{}
@@ -69,11 +73,10 @@
 }
 
 // startEarly starts a pipelined request before its turn. It returns nil if the request must wait: a request that must
-// not run twice starts only once all requests before it are answered, and a stopping node starts none ahead, since
-// it closes its connections.
+// not run twice starts only once all requests before it are answered.
 func (n *Node) startEarly(ctx context.Context, r *http.Request) pipeline.Result {
 	active := n.configuration.current.Load()
-	if active == nil || n.stopping.Load() {
+	if active == nil || n.refusingAll.Load() {
 		return nil
 	}
 	if route := active.routes.match(r.Host, r.RequestURI); route == nil || !route.Idempotent {
@@ -84,6 +87,9 @@
 	result.entry.early, result.done = true, make(chan struct{})
 	go func() {
 		result.run(nil, r)
+		if result.streams() {
+			result.hold() // upstreams cut off a response that is not read for long
+		}
 		close(result.done)
 		result.mu.Lock()
 		discarded := result.discarded
