--- a/internal/httpserver/end_test.go
+++ b/internal/httpserver/end_test.go
@@ -18,24 +18,24 @@
 	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 )
 
-// heldListener accepts connections whose reads can be held.
-type heldListener struct {
+// pausedListener accepts connections whose reads can be held.
+type pausedListener struct {
 	net.Listener
-	accepted chan *heldConn
+	accepted chan *pausedConn
 }
 
-func (l heldListener) Accept() (net.Conn, error) {
+func (l pausedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	held := &heldConn{TCPConn: c.(*net.TCPConn)}
+	held := &pausedConn{TCPConn: c.(*net.TCPConn)}
 	l.accepted <- held
 	return held, nil
 }
 
-// heldConn stands for a reader that gets no processor time: a read waits before it looks at the socket, or after it has read.
-type heldConn struct {
+// pausedConn stands for a reader that gets no processor time: a read waits before it looks at the socket, or after it has read.
+type pausedConn struct {
 	*net.TCPConn
 	before, after atomic.Pointer[gate]
 	// skipped is the number of reads that pass before one waits.
@@ -53,7 +53,7 @@
 	}
 }
 
-func (c *heldConn) Read(p []byte) (int, error) {
+func (c *pausedConn) Read(p []byte) (int, error) {
 	if c.skipped.Add(-1) < 0 {
 		c.before.Swap(nil).wait()
 	}
@@ -76,9 +76,9 @@
 			t.Run(name+", "+held, func(t *testing.T) {
 				budgets := smallVM
 				budgets.Connections, budgets.MinStall = 1, shortStall
-				accepted := make(chan *heldConn, 10)
+				accepted := make(chan *pausedConn, 10)
 				var ran atomic.Int64
-				g := startGuardedOn(t, func(l net.Listener) net.Listener { return heldListener{l, accepted} }, budgets,
+				g := startGuardedOn(t, func(l net.Listener) net.Listener { return pausedListener{l, accepted} }, budgets,
 					config.ClientLimits{IdleTimeout: time.Minute}, func(w http.ResponseWriter, r *http.Request) {
 						ran.Add(1)
 						readBody(w, r)
