sidecar: a configuration after one of revision 0 doesn't end the process

What callers would see: if the first configuration of a deployment has the version r0, every node ends when it applies the next one, and all requests that it holds lose their connection. Found by reading; no play has shown it, the versions seen begin at r1.

Cause: the channel that tells that a configuration is loaded was closed whenever the revision before was 0, which is that of an empty document and of a loaded r0. Its second close is a panic in the task that reads the store, or in an exchange.

Change: it is closed with the first configuration.

Evidence: TestConfigurationAfterRevisionZero ended with "panic: close of closed channel" in configuration.update, and passes now.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -123,16 +123,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.document()
+	old, first := c.document(), c.current.Load() == nil
 	switch {
 	case document.Revision < old.Revision:
 		return fmt.Errorf("%w: revision %d, not %d", errOutdatedConfiguration, document.Revision, old.Revision)
-	case document.Revision > old.Revision || c.current.Load() == nil:
+	case document.Revision > old.Revision || first:
 		c.current.Store(&activeConfiguration{document: document, raw: raw, routes: newRouteTable(document)})
 		c.node.shares.SetWorkspaces(c.node.quotas(document), time.Now())
 		c.node.local.configurePacer(time.Now())
 		c.node.registry.refresh()
-		if old.Revision == 0 {
+		if first {
 			close(c.loaded)
 		}
 		c.node.log.event("configuration").Int64("revision", document.Revision).Int64("previous", old.Revision).
