sidecar: a negative revision in an exchange doesn't end the process

What callers would see: a node that has no configuration yet ends, with all requests that it holds, when it prepares an exchange with a peer that has told a revision below 0. No node sends one. Addresses are used again, so what another process sends must not end this one.

Cause: the revision of a peer was compared with 0, that of a node without a configuration; a lower one led to the document of none. The exchange runs in a goroutine of its own.

Change: a node without a configuration sends none.

Evidence: TestGossipNegativeRevision ended with a nil pointer dereference in gossip.stateFor, and passes now.

--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -267,7 +267,7 @@
 	self := n.registry.registration()
 	g.mu.Lock()
 	p := g.peer(peer)
-	if p.revision < state.ConfigurationRevision && !p.lastContact.IsZero() {
+	if active != nil && p.revision < state.ConfigurationRevision && !p.lastContact.IsZero() {
 		state.Configuration = active.raw
 	}
 	if p.echo != nil {
--- a/sidecar/gossip_malformed_test.go
+++ b/sidecar/gossip_malformed_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cowslipglade/cowslipglade/internal/clock"
 	"github.com/cowslipglade/cowslipglade/internal/responsetest"
 	gossipv1 "github.com/cowslipglade/cowslipglade/rpc/gossip/v1"
 )
@@ -37,3 +38,12 @@
 		})
 	}
 }
+
+// Guards against a process that ends by what another one has sent: a revision that no node has.
+func TestGossipNegativeRevision(t *testing.T) {
+	n := testNode("a", 1)
+	n.gossip.merge(&gossipv1.State{Node: "b", ConfigurationRevision: -1}, clock.Boot())
+	state, _ := n.gossip.stateFor("b")
+	must.Eq(t, 0, state.ConfigurationRevision)
+	must.SliceEmpty(t, state.Configuration)
+}
