retry: counts leave the window after its length has changed

What callers would see: a service that a node has sent a request to before the first limits were set, or before a reload that makes the window longer, keeps one count of all its requests and repeats since then, so its budget no longer follows the window: after a while of requests, an outage may be met with repeats for all of them.

Cause: slots are numbered by the time divided by their length. With a longer one the numbers fall (the first length is 1 ns), and a slot only ever advances, so none was cleared until the time had caught up.

Change: the counts know their window. With another one, the repeats count for a full window from then on, and the requests are dropped, so the change allows no repeat that the limits would not.

Evidence: TestRepeatLimiterNewWindow granted a repeat for requests a minute old in a window of 10 s ("granted" in place of "denied_budget"), and passes now.

--- a/retry/repeat_limiter.go
+++ b/retry/repeat_limiter.go
@@ -68,6 +68,8 @@
 )
 
 type repeatCounts struct {
+	// window is that of the slots.
+	window   time.Duration
 	slot     int64
 	requests [windowSlots]float64
 	// repeats counts the granted repeats and the sends of requests that are repeats already.
@@ -84,7 +86,7 @@
 	return &RepeatLimiter{limits: limits, services: map[string]*repeatCounts{}}
 }
 
-// SetLimits replaces the limits. It keeps the counts.
+// SetLimits replaces the limits. It keeps the counts, but for the requests if the window changes.
 func (l *RepeatLimiter) SetLimits(limits RepeatLimits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -209,9 +211,12 @@
 		if len(l.services) >= maxServices {
 			return nil
 		}
-		c = &repeatCounts{slot: slot}
+		c = &repeatCounts{window: l.limits.Window, slot: slot}
 		l.services[service] = c
 	}
+	if c.window != l.limits.Window {
+		c.setWindow(l.limits.Window, slot)
+	}
 	for skipped := 0; c.slot < slot && skipped <= windowSlots; skipped++ {
 		c.slot++
 		c.requests[c.slot%windowSlots] = 0
@@ -222,6 +227,17 @@
 	return c
 }
 
+// setWindow begins slots of another length, which are numbered otherwise. When the earlier requests and repeats were counted is
+// not known to them, so the repeats stay for a window and the requests allow no more.
+func (c *repeatCounts) setWindow(window time.Duration, slot int64) {
+	repeats, afterMayHaveRun := sum(c.repeats[:]), sum(c.afterMayHaveRun[:])
+	clear(c.requests[:])
+	clear(c.repeats[:])
+	clear(c.afterMayHaveRun[:])
+	c.window, c.slot = window, slot
+	c.repeats[slot%(windowSlots+1)], c.afterMayHaveRun[slot%(windowSlots+1)] = repeats, afterMayHaveRun
+}
+
 // evict removes the services whose counts have left the window.
 func (l *RepeatLimiter) evict(slot int64) {
 	for name, c := range l.services {
--- a/retry/repeat_limiter_test.go
+++ b/retry/repeat_limiter_test.go
@@ -92,3 +92,20 @@
 	must.LessEq(t, perSecond*10/5, granted[0]+granted[1])
 	must.Greater(t, perSecond*10/5*2/3, granted[0]+granted[1], must.Sprint("two thirds of the budget are used"))
 }
+
+// Guards against counts that never leave the window after its length has changed, as with the first limits of a process.
+func TestRepeatLimiterNewWindow(t *testing.T) {
+	for _, before := range []time.Duration{0, time.Second, time.Minute} {
+		limits := RepeatLimits{Window: before, Ratio: 0.1, MayHaveRunFraction: 1}
+		limiter := NewRepeatLimiter(limits)
+		now := time.Unix(1_800_000_000, 0)
+		limiter.RecordRequest("s", false, now)
+		limits.Window = 10 * time.Second
+		limiter.SetLimits(limits)
+		for range 1000 {
+			limiter.RecordRequest("s", false, now)
+		}
+		now = now.Add(time.Minute)
+		must.Eq(t, DeniedByBudget, limiter.AllowRepeat("s", Repeat{}, now), must.Sprintf("the window was %v, the requests are a minute old", before))
+	}
+}
