sidecar: a panic in the code of one request ends only that request

In a handler, where net/http contains it, the call keeps its slot of the upstream: after as many panics as the upstream has slots, all further calls are refused.

Cause: net/http recovers the panics of handlers only, and a slot was released by the code that a panic leaves out. A panic under the lock of a gate would also have kept the lock.

Change: Node.contain recovers what serves one request (entry, attempt, discarded responses, loan) or one exchange. The request gets a refusal with the code internal: may have run, unless it was sent nowhere. A repeatable one may be sent to another node. The call's slot, its fingerprint in flight and its place among the running requests are released when a panic passes (afterPanic), and the gate and the exchange unlock by deferred calls, so that what others use stays usable. panics_total counts, the line "panic" has the stack.

Why contain: the panics known so far came from one call's data or timing, and left the state of others sound. The other requests of the process have nothing to do with it, and the end of a process costs callers all of them. A panic in a task of the node still ends the process: without the task it would stay up and, for example, lose its lease.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -64,44 +64,40 @@
 
 // AcquireQueued is like Acquire and calls queued before it waits.
 func (g *Gate) AcquireQueued(ctx context.Context, item *Item, queued func()) (release func(Result), err error) {
-	now := g.cfg.Now()
 	withdrawn := g.withdrawn(item)
-	g.mu.Lock()
-	if withdrawn {
-		defer g.mu.Unlock()
-		return nil, g.refusal(now, Withdrawn)
+	release, w, err := g.offer(g.cfg.Now(), item, withdrawn)
+	if w == nil {
+		return release, err
 	}
-	if g.queue.TryStart(now, item) {
-		s := g.takeSlot(now, item)
-		g.mu.Unlock()
-		return s.release, nil
-	}
-	return g.acquireQueued(ctx, now, item, queued)
+	queued()
+	return g.wait(ctx, w)
 }
 
 func (g *Gate) withdrawn(item *Item) bool {
 	return g.cfg.Withdrawn != nil && g.cfg.Withdrawn(item)
 }
 
-// acquireQueued offers the item to the queue and waits. It is called with g.mu held.
-func (g *Gate) acquireQueued(ctx context.Context, now time.Time, item *Item, queued func()) (func(Result), error) {
+// offer starts or refuses the item, or returns a waiter if it is queued.
+func (g *Gate) offer(now time.Time, item *Item, withdrawn bool) (release func(Result), queued *waiter, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if withdrawn {
+		return nil, nil, g.refusal(now, Withdrawn)
+	}
+	if g.queue.TryStart(now, item) {
+		return g.takeSlot(now, item).release, nil, nil
+	}
 	w := &waiter{Work: Work{Item: *item}, done: make(chan struct{})}
 	w.owner = w
 	state := g.queue.Offer(now, &w.Work)
 	g.wakeDecided()
 	switch state {
 	case Running:
-		s := g.takeSlot(now, item)
-		g.mu.Unlock()
-		return s.release, nil
+		return g.takeSlot(now, item).release, nil, nil
 	case Refused:
-		err := g.refusal(now, w.Reason)
-		g.mu.Unlock()
-		return nil, err
+		return nil, nil, g.refusal(now, w.Reason)
 	}
-	g.mu.Unlock()
-	queued()
-	return g.wait(ctx, w)
+	return nil, w, nil
 }
 
 func (g *Gate) wait(ctx context.Context, w *waiter) (func(Result), error) {
--- a/sidecar/destination.go
+++ b/sidecar/destination.go
@@ -43,6 +43,7 @@
 		cancel()
 		n.forwardedInFlight.Add(-1)
 	})
+	defer afterPanic(end)
 	response, err := n.runLocal(ctx, &incoming.Request, slotEvents{incoming.Queued, func() error {
 		defer context.AfterFunc(n.runCtx, incoming.AbortBody)()
 		return reserved()
@@ -102,33 +103,36 @@
 		}
 		return nil, n.refuseLocal(req, refusal, u)
 	}
+	var ticket quarantine.Ticket
+	var once sync.Once
+	end := func(result admission.Result) {
+		once.Do(func() {
+			u.tracker.End(ticket, result == admission.Succeeded, time.Now())
+			release(result)
+		})
+	}
+	defer afterPanic(func() { end(admission.Failed) })
 	n.metrics.queueDelay.record(time.Since(start))
 	ticket, refusal := n.startTracked(ctx, u, req)
 	if refusal == nil && n.local.current.Load().leaving() {
-		u.tracker.End(ticket, false, time.Now())
 		refusal = call.NewRefusal(call.CodeDraining, call.NotRun, "upstream is leaving")
 	}
 	if refusal != nil {
-		release(admission.Ignored)
+		end(admission.Ignored)
 		return nil, n.refuseLocal(req, refusal, u)
 	}
 	if err := slot.reserved(); err != nil {
-		u.tracker.End(ticket, false, time.Now())
-		release(admission.Ignored)
+		end(admission.Ignored)
 		return nil, call.NewRefusal(call.CodeCanceled, call.NotRun, "sender gave up: %v", err)
 	}
 	if refusal := n.awaitPace(ctx, req.Deadline); refusal != nil {
-		u.tracker.End(ticket, false, time.Now())
-		release(admission.Ignored)
+		end(admission.Ignored)
 		return nil, n.refuseLocal(req, refusal, u)
 	}
 	if quarantine.IsBeginning(req.Fingerprint) {
 		req.Body = u.tracker.Reader(req.Body, requestSource(req), ticket, time.Now)
 	}
-	return n.runUpstream(ctx, u, req, metered, func(result admission.Result) {
-		u.tracker.End(ticket, result == admission.Succeeded, time.Now())
-		release(result)
-	})
+	return n.runUpstream(ctx, u, req, metered, end)
 }
 
 // refuseLocal adds the load to a refusal, counts it and logs it.
@@ -174,13 +178,17 @@
 	})
 	start := time.Now()
 	end := n.running.Start(req.RequestID, lineage.Run{Route: req.Route, Importance: req.Importance, ShedOrder: req.ShedOrder, Repeated: req.Repeated})
-	metered.start(start)
 	releaseSlot := release
+	var once sync.Once
 	release = func(result admission.Result) {
-		metered.end(result == admission.Succeeded, time.Now())
-		end()
-		releaseSlot(result)
+		once.Do(func() {
+			defer releaseSlot(result)
+			defer end()
+			metered.end(result == admission.Succeeded, time.Now())
+		})
 	}
+	defer afterPanic(func() { release(admission.Failed) })
+	metered.start(start)
 	if req.Workspace != "" {
 		n.metrics.upstreamSends.Add(req.Workspace, 1)
 	}
--- a/sidecar/dispatch.go
+++ b/sidecar/dispatch.go
@@ -133,8 +133,12 @@
 		running++
 		repeated := d.repeats > 0
 		go func() {
-			response, refusal := d.attempt(ctx, choice, repeated)
-			results <- attemptResult{response, refusal}
+			result := attemptResult{refusal: panicRefusal(call.MayHaveRun)}
+			d.node.contain("attempt", func() {
+				response, refusal := d.attempt(ctx, choice, repeated)
+				result = attemptResult{response, refusal}
+			})
+			results <- result
 		}()
 		return true
 	}
@@ -156,7 +160,7 @@
 			running--
 			if result.refusal == nil && !serverError(result.response) {
 				d.discard(failed)
-				go discardRemaining(results, running)
+				go d.discardRemaining(results, running)
 				response := result.response
 				response.Body = call.OnClose(response.Body, cancel)
 				return response, nil
@@ -186,11 +190,10 @@
 
 // discardRemaining closes the responses of attempts that are no longer needed. Their context has ended, or
 // will end once the chosen response has been delivered.
-func discardRemaining(results <-chan attemptResult, running int) {
+func (d *dispatcher) discardRemaining(results <-chan attemptResult, running int) {
 	for range running {
-		if result := <-results; result.response != nil {
-			_ = result.response.Body.Close()
-		}
+		result := <-results
+		d.node.contain("discard", func() { d.discard(result.response) })
 	}
 }
 
@@ -233,14 +236,16 @@
 	attempt.CallID = strconv.FormatUint(n.callSequence.Add(1), 36)
 	start := time.Now()
 	var response *call.Response
-	var err error
-	if choice.Node == n.settings().Node {
-		attempt.Header = attempt.Header.Clone()
-		response, err = n.runLocal(ctx, attempt, slotEvents{func() {}, func() error { return nil }})
-	} else {
+	var err error = panicRefusal(call.MayHaveRun)
+	n.contain("attempt", func() {
+		if choice.Node == n.settings().Node {
+			attempt.Header = attempt.Header.Clone()
+			response, err = n.runLocal(ctx, attempt, slotEvents{func() {}, func() error { return nil }})
+			return
+		}
 		to := peer.Destination{Address: choice.Address, Incarnation: choice.Incarnation, Kind: peer.KindRun}
 		response, err = n.forwarder.Forward(ctx, to, attempt, forwardWait(time.Until(attempt.Deadline)))
-	}
+	})
 	end := time.Now()
 	result := balance.LatencyResult{Latency: end.Sub(start), Class: workClass(d.entry.req)}
 	if err == nil {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -125,7 +125,19 @@
 		Bool("stopping", n.stopping.Load()).Err(stream.err).Msg("response truncated; closing the connection to the receiver")
 }
 
-func (n *Node) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.Response, *call.Refusal) {
+// serve runs a request. A panic is answered like a failure.
+func (n *Node) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entryRequest) (response *call.Response, refusal *call.Refusal) {
+	if n.contain("entry", func() { response, refusal = n.admitAndDispatch(ctx, w, r, e) }) {
+		outcome := call.MayHaveRun
+		if e.sends == 0 {
+			outcome = call.NotRun
+		}
+		return nil, panicRefusal(outcome)
+	}
+	return response, refusal
+}
+
+func (n *Node) admitAndDispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, e *entryRequest) (*call.Response, *call.Refusal) {
 	if refusal := n.admit(r, e); refusal != nil {
 		return nil, refusal
 	}
--- a/sidecar/gossip.go
+++ b/sidecar/gossip.go
@@ -115,7 +115,7 @@
 		var round sync.WaitGroup
 		complete := g.node.registry.isComplete()
 		for _, target := range g.targets() {
-			round.Go(func() { g.exchange(ctx, target) })
+			round.Go(func() { g.node.contain("exchange", func() { g.exchange(ctx, target) }) })
 		}
 		round.Wait()
 		if complete {
@@ -265,19 +265,7 @@
 		state.ConfigurationAgeUs = age.Microseconds()
 	}
 	self := n.registry.registration()
-	g.mu.Lock()
-	p := g.peer(peer)
-	if active != nil && p.revision < state.ConfigurationRevision && !p.lastContact.IsZero() {
-		state.Configuration = active.raw
-	}
-	if p.echo != nil {
-		state.Echo = &gossipv1.Echo{
-			Incarnation: p.echo.Incarnation, PreparedUs: p.echo.PreparedUs, HeldUs: max(0, preparedAt.Sub(p.echoAt)).Microseconds(),
-		}
-	}
-	after := p.marksSent
-	registrationKnown := p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
-	g.mu.Unlock()
+	after, registrationKnown := g.addKnown(state, peer, active, &self, preparedAt)
 	if u := n.local.current.Load(); u != nil {
 		encodeUpstreamLoad(state, u.load(time.Now()), u)
 		state.ColdUs = n.local.pacer.Cold(time.Now()).Microseconds()
@@ -306,6 +294,23 @@
 	return state, last
 }
 
+// addKnown adds what follows from what the peer knows and has sent. It returns the sequence number of the last crash mark
+// that the peer has received, and whether it knows this node's registration.
+func (g *gossip) addKnown(state *gossipv1.State, peer string, active *activeConfiguration, self *Registration, preparedAt time.Time) (marks uint64, registered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peer(peer)
+	if active != nil && p.revision < state.ConfigurationRevision && !p.lastContact.IsZero() {
+		state.Configuration = active.raw
+	}
+	if p.echo != nil {
+		state.Echo = &gossipv1.Echo{
+			Incarnation: p.echo.Incarnation, PreparedUs: p.echo.PreparedUs, HeldUs: max(0, preparedAt.Sub(p.echoAt)).Microseconds(),
+		}
+	}
+	return p.marksSent, p.knownIncarnation == self.Incarnation && p.knownSequence >= self.Sequence
+}
+
 // preparedAfter returns a time on the lease clock after which a peer has prepared a message that arrives now, or zero if
 // that is unknown. A message may have been on its way for as long as its connection lasts, so its arrival tells nothing.
 // The peer prepared it after it had received the message of this process that it echoes, and had held it for a while.
--- a/sidecar/loans.go
+++ b/sidecar/loans.go
@@ -62,12 +62,26 @@
 	}
 }
 
-// run asks the suggested lenders in order until enough tokens were borrowed.
+// run makes a loan and ends the wait for it.
 func (l *loans) run(workspace string, state *workspaceLoan) {
-	n := l.node
 	l.mu.Lock()
 	waiting := state.waiting
 	l.mu.Unlock()
+	borrowed := false
+	l.node.contain("loan", func() { borrowed = l.borrowFor(workspace, waiting) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !borrowed {
+		state.notBefore = time.Now().Add(loanBackoff)
+	}
+	state.waiting = 0
+	close(state.done)
+	state.done = nil
+}
+
+// borrowFor asks the suggested lenders in order until enough tokens were borrowed, and reports whether any were.
+func (l *loans) borrowFor(workspace string, waiting int) bool {
+	n := l.node
 	request := n.shares.PlanLoan(workspace, waiting, time.Now())
 	missing := request.Tokens
 	for _, name := range request.Lenders {
@@ -76,14 +90,7 @@
 		}
 		missing -= l.borrow(name, workspace, missing)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if missing >= request.Tokens {
-		state.notBefore = time.Now().Add(loanBackoff)
-	}
-	state.waiting = 0
-	close(state.done)
-	state.done = nil
+	return missing < request.Tokens
 }
 
 // borrow asks one node for tokens and returns the number received.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -78,6 +78,8 @@
 	clientsClosed *expvar.Map
 	// unanswered counts requests whose connection was closed before their response, by listener and cause.
 	unanswered *expvar.Map
+	// panics counts the panics of code that serves one request or exchange, by part.
+	panics *expvar.Map
 	// requestLatency is the time from a request's arrival to its response, upstreamLatency the part spent at
 	// the upstream, and queueDelay the part spent in the queue.
 	requestLatency, upstreamLatency, queueDelay *latencyHistogram
@@ -91,7 +93,7 @@
 		requestLatency: newLatencyHistogram(), upstreamLatency: newLatencyHistogram(), queueDelay: newLatencyHistogram(),
 		paced: new(expvar.Map).Init(), coldSigns: new(expvar.Map).Init(),
 		evacuationRefused: new(expvar.Int), departuresAdopted: new(expvar.Int), longBodies: new(expvar.Map).Init(), clientsClosed: new(expvar.Map).Init(),
-		unanswered: new(expvar.Map).Init(),
+		unanswered: new(expvar.Map).Init(), panics: new(expvar.Map).Init(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("destination_refusals_total", m.refused)
@@ -123,6 +125,7 @@
 	}))
 	m.vars.Set("clients_closed_total", m.clientsClosed)
 	m.vars.Set("requests_unanswered_total", m.unanswered)
+	m.vars.Set("panics_total", m.panics)
 	m.vars.Set("clients", expvar.Func(func() any { return n.clientStatus() }))
 	m.vars.Set("service_limits", expvar.Func(func() any {
 		limits := map[string]call.Rank{}
