sidecar: a stop answers pipelined requests that wait for their turn

What callers saw: of pipelined requests, those behind the one that was answered first after a SIGTERM were lost with the connection, if they had not been started early. They had not run, but they had been read, and waited for as long as the one before them ran.

Cause: a stopping node sends Connection: close with every response unless requests behind it were started early (pipeline.Waiting). Requests that must wait, because they are not idempotent or follow such a one, do not count in that.

Evidence: TestStopAnswersPipelinedWrite (a read, a write and a read sent at once, a stop while the first one runs) failed: the first response had Connection: close, so that the two others got none. TestStopRespondsToAbortedPipelinedRequests, for requests that were started early and are aborted at the end of the stop, passed before this change too; that was no fault.

Why the fix works: the guard of a connection counts the requests that have been read from it, and the kernel says whether more bytes wait (httpserver.MoreRequests). Connection: close goes with the last of them. During Shutdown httpserver decides in the same way for all listeners.

What remains: a client that pipelines without a pause gets no Connection: close and keeps its connection until the end of the stop. cowslipd still sends it with every response to a request that came after its SIGTERM, so what is pipelined behind it gets none.

--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -242,9 +242,30 @@
 // closeLast tells clients during a shutdown that a response is the last one on its connection.
 func (s *Server) closeLast(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
+		if s.stopping.Load() && !MoreRequests(r) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+type drainKey struct{}
+
+// MoreRequests reports whether bytes that follow a request have arrived on its connection, so that the connection should not
+// be closed after the response. It is false while the body of the request is incomplete. Without a Guard, bytes that have been
+// read together with the request are not known of.
+func MoreRequests(r *http.Request) bool {
+	c, ok := r.Context().Value(drainKey{}).(*drainConn)
+	if !ok {
+		return false
+	}
+	guarded := unwrap(c.Conn)
+	if guarded == nil {
+		return r.ContentLength == 0 && hasUnread(c.base)
+	}
+	guarded.mu.Lock()
+	requests := guarded.requests
+	more, complete := len(requests) > 1, len(requests) == 1 && requests[0].complete
+	guarded.mu.Unlock()
+	return more || complete && hasUnread(c.base)
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -47,13 +47,15 @@
 	s := &Server{Server: server, Name: name, connections: map[*drainConn]struct{}{}}
 	server.Handler = s.closeLast(server.Handler)
 	server.ConnState = s.connState
-	if inner := server.ConnContext; inner != nil {
-		server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-			if conn, ok := c.(*drainConn); ok {
-				c = conn.Conn
-			}
-			return inner(ctx, c)
+	inner := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn, ok := c.(*drainConn); ok {
+			ctx, c = context.WithValue(ctx, drainKey{}, conn), conn.Conn
 		}
+		if inner != nil {
+			ctx = inner(ctx, c)
+		}
+		return ctx
 	}
 	return s
 }
--- a/sidecar/early_test.go
+++ b/sidecar/early_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cowslipglade/cowslipglade/sidecar"
 )
 
 // sendAhead writes requests on one connection without reading and returns it.
@@ -131,3 +133,51 @@
 	}
 	must.NoError(t, <-stopped)
 }
+
+// Guards against closing the connection in a stop while requests behind the answered one have been read, which must wait for
+// their turn.
+func TestStopAnswersPipelinedWrite(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		respond(w, r)
+	}))
+	conn := sendAhead(t, f.nodes[0], pipelined(http.MethodGet, "/read/", 0), pipelined(http.MethodPost, "/once/", 1), pipelined(http.MethodGet, "/read/", 2))
+	must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	f.eventually(func() error { return expectRequests(f, 1) })
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].node.Stop() }()
+	reader := bufio.NewReader(conn)
+	for i := range 3 {
+		response, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err, must.Sprint(i))
+		must.Eq(t, http.StatusOK, response.StatusCode, must.Sprint(i))
+		must.Eq(t, i == 2, response.Close, must.Sprint(i))
+		_, err = io.Copy(io.Discard, response.Body)
+		must.NoError(t, err)
+	}
+	must.NoError(t, <-stopped)
+}
+
+// Guards against a stop that aborts requests which were started early without a response.
+func TestStopRespondsToAbortedPipelinedRequests(t *testing.T) {
+	f := startFleet(t, 1, sameHandler(respondAfter(time.Minute)))
+	f.setShutdownTimeout(4800 * time.Millisecond)
+	requests := make([]string, 3)
+	for i := range requests {
+		requests[i] = pipelined(http.MethodGet, "/read/long/", i)
+	}
+	conn := sendAhead(t, f.nodes[0], requests...)
+	must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	f.eventually(func() error { return expectRequests(f, len(requests)) })
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].node.Stop() }()
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err, must.Sprint(i))
+		must.Eq(t, http.StatusBadGateway, response.StatusCode, must.Sprint(i))
+		_, err = io.Copy(io.Discard, response.Body)
+		must.NoError(t, err)
+	}
+	must.ErrorIs(t, <-stopped, sidecar.ErrRequestsAborted)
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -78,8 +78,8 @@
 	elapsed := time.Since(e.start)
 	n.metrics.recordRequest(refusal, elapsed)
 	n.logRequest(r, e, response, refusal, elapsed)
-	// Requests that were started early would be lost with the connection.
-	if n.stopping.Load() && !pipeline.Waiting(r) {
+	// Requests that have arrived behind this one would be lost with the connection. Some were started early.
+	if n.stopping.Load() && !pipeline.Waiting(r) && !httpserver.MoreRequests(r) {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal != nil {
