--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -13,9 +13,6 @@
 // A ledger that takes a connection for unused can be overtaken by its client: a request may have arrived, or may just have
 // been read. Only the goroutine that reads the connection can tell, so it is the one that ends it.
 
-// interrupted is a read deadline in the past.
-var interrupted = time.Unix(1, 0)
-
 // disconnect ends the connection of a client that the ledger has removed. If the client has sent something meanwhile, it keeps
 // the connection until that is answered.
 func (c *guardedConn) disconnect(reason intake.Reason) {
@@ -34,7 +31,7 @@
 		return
 	default:
 		c.ending = reason
-		_ = c.Conn.SetReadDeadline(interrupted) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(longAgo) // fails only if the connection is closed
 	}
 	c.mu.Unlock()
 }
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -84,8 +84,8 @@
 	elapsed := time.Since(e.start)
 	n.metrics.recordRequest(refusal, elapsed)
 	n.logRequest(r, e, response, refusal, elapsed)
-	// Requests that were read would be lost with the connection.
-	if n.stopping.Load() && pipeline.Last(r) {
+	// Requests that have arrived behind this one would be lost with the connection. Some were started early.
+	if n.stopping.Load() && !httpserver.MoreRequests(r) && pipeline.Last(r) {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal != nil {
