--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -1,10 +1,8 @@
 package httpserver
 
 import (
-	"io"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/intake"
@@ -75,30 +73,12 @@
 // readArrived looks once more for bytes if disconnect has interrupted the read that returned err.
 func (c *guardedConn) readArrived(p []byte, err error) (int, error) {
 	c.mu.Lock()
-	ending := c.ending
-	c.mu.Unlock()
-	socket, ok := c.Conn.(syscall.Conn)
-	if ending == "" || !ok || !os.IsTimeout(err) {
-		return 0, err
-	}
-	raw, rawErr := socket.SyscallConn()
-	if rawErr != nil {
-		return 0, err
-	}
-	n, readErr := 0, error(nil)
-	// Control, as Read observes the deadline. The socket does not block.
-	if rawErr := raw.Control(func(fd uintptr) { n, readErr = syscall.Read(int(fd), p) }); rawErr != nil {
+	defer c.mu.Unlock()
+	if c.ending == "" || !os.IsTimeout(err) || !hasUnread(c.Conn) {
 		return 0, err
 	}
-	switch {
-	case n > 0:
-		return n, nil
-	case n == 0:
-		return 0, io.EOF
-	case readErr == syscall.ECONNRESET: //nolint:errorlint // as the system call returns it
-		return 0, readErr
-	}
-	return 0, err
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	return c.Conn.Read(p)
 }
 
 // endRead ends a read and returns why it ends the connection; empty if it does not. arrived means that it has read something.
