signals: a closed log doesn't end the process

What callers saw: when the reader of a node's log ends, the next log line ends the node, and with it every request that it holds.

Cause: Go ends a process with SIGPIPE if it writes to standard output or error and the pipe has no reader. Other descriptors get an error. A log that is not read was covered (lines are dropped), one that is closed was not.

Change: SIGPIPE is ignored, so the write fails and the line is lost. It concerns cowslip-sidecar and cowslipd.

Evidence: TestClosedLog failed with "nothing listens" after 20 s, as the process had ended at its first line, and passes now.

--- a/cmd/cowslip-sidecar/log_test.go
+++ b/cmd/cowslip-sidecar/log_test.go
@@ -37,3 +37,17 @@
 		t.Fatalf("command still running %v after SIGTERM", shutdownTimeout)
 	}
 }
+
+// Guards against a process that ends because the reader of its log has ended.
+func TestClosedLog(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	must.NoError(t, err)
+	must.NoError(t, reader.Close())
+	cmd, _, address := newCommand(t)
+	cmd.Stdout, cmd.Stderr = writer, writer
+	must.NoError(t, cmd.Start())
+	must.NoError(t, writer.Close())
+	signalstest.AwaitListener(t, address)
+	must.NoError(t, cmd.Process.Signal(syscall.SIGTERM)) // the lines of the stop are written over seconds
+	must.NoError(t, cmd.Wait())
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -15,11 +15,13 @@
 }
 
 // Notify starts handling the signals. It never restores the default handlers, so that a repeated stop signal
-// does not kill the process.
+// does not kill the process. SIGPIPE is ignored: Go ends a process with it that writes to standard output or error without a
+// reader, and the log is not worth the requests.
 func Notify() *Signals {
 	s := &Signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
