httpserver: what has happened since a client was removed counts when its connection is ended

Callers saw, when the idle limit or a used-up budget met a request: a running request canceled (502), a request whose header came in two reads run and not answered, and a long response cut off. A removed client whose response was not taken was in no ledger, and budgets could go below what was in use for good.

Cause: the ledger removes a client in one step, and the guard acts in a later one on whatever the connection does by then.

Change: the ledger counts what a client sends and is sent; if that has moved since the removal, the client is kept. The decision and the interruption are one critical section. A read in a header is interrupted too, and the connection closed by its reader if the header stays incomplete. Removed clients go on being charged, so Keep restores what they hold.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -81,6 +81,8 @@
 	moved    int64
 	held     [resourceCount]int64
 	closed   bool
+	// activity counts what the client was seen to send or to be sent; activityAtRemoval is its value when closed was set.
+	activity, activityAtRemoval uint64
 }
 
 func (c *Client) turn() Turn {
@@ -163,6 +165,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.moved += int64(bytes)
+	c.activity++
 	if complete || c.moved >= progressBytes {
 		c.moved, c.readAt = 0, now
 	}
@@ -174,6 +177,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.writing, c.writeAt = true, now
+	c.activity++
 }
 
 // EndWrite records that the client has taken it.
@@ -205,11 +209,12 @@
 }
 
 // Charge adds an amount to what the client holds. The victims must be disconnected. It returns false if there is no room now.
-// The caller may try again while the client is in turn Running. A client that was a victim itself is charged nothing.
+// The caller may try again while the client is in turn Running. A client that was removed itself uses up no budget.
 func (l *Ledger) Charge(c *Client, r Resource, amount int64, now time.Time) (victims []*Client, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.closed {
+		c.held[r] += amount // Keep may take the removal back
 		return nil, true
 	}
 	for l.used[r]+amount > l.budgets.Amounts[r] {
@@ -233,10 +238,10 @@
 func (l *Ledger) Release(c *Client, r Resource, amount int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.held[r] -= amount
 	if c.closed {
 		return
 	}
-	c.held[r] -= amount
 	l.used[r] -= amount
 	l.retryAt[r] = time.Time{}
 }
@@ -245,7 +250,7 @@
 	if c.closed {
 		return
 	}
-	c.closed = true
+	c.closed, c.activityAtRemoval = true, c.activity
 	delete(l.clients, c)
 	for r, amount := range c.held {
 		if amount > 0 {
@@ -255,6 +260,13 @@
 	}
 }
 
+// Overtaken reports whether a removed client has sent or been sent something since.
+func (l *Ledger) Overtaken(c *Client) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.activity != c.activityAtRemoval
+}
+
 // Keep takes the removal of a client back whose connection could not be closed, as it has sent something meanwhile. The budgets
 // may be exceeded by what it holds.
 func (l *Ledger) Keep(c *Client) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,6 +51,8 @@
 	// response is the last of the connection.
 	ending  intake.Reason
 	closing bool
+	// overtaken belongs to the reading goroutine: the reason of disconnect if the last read had read something all the same.
+	overtaken intake.Reason
 	// cause is why the connection was closed, closedAt when; empty before. receivedAt is when its last bytes arrived, if known.
 	cause                CloseCause
 	closedAt, receivedAt time.Time
@@ -85,6 +87,9 @@
 		c.completed = false
 		ledger.EndRead(c.client, n, false, now)
 		c.framer.Feed(p[:n], c)
+		if c.endOvertaken() {
+			return 0, c.failed
+		}
 		if c.failed != nil {
 			c.endAfterResponses() // what has arrived before is still served
 		}
--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -11,21 +11,19 @@
 // A ledger that takes a connection for unused can be overtaken by its client: a request may have arrived, or may just have
 // been read. Only the goroutine that reads the connection can tell, so it is the one that ends it.
 
-// disconnect ends the connection of a client that the ledger has removed. If the client has sent something meanwhile, it keeps
-// the connection until that is answered.
+// disconnect ends the connection of a client that the ledger has removed. If something was read or written since, it keeps the
+// connection until the request is answered. No read in progress is closed under its reader.
 func (c *guardedConn) disconnect(reason intake.Reason) {
-	switch c.guard.config.Ledger.Turn(c.client) {
-	case intake.Closing, intake.Receiving:
-		c.closeNow(reason)
-		return
-	}
+	ledger := c.guard.config.Ledger
 	c.mu.Lock()
+	turn := ledger.Turn(c.client)
+	unanswering := turn == intake.Closing || turn == intake.Receiving
 	switch {
-	case !c.reading:
+	case ledger.Overtaken(c.client) || !unanswering && !c.reading:
 		c.keep()
-	case len(c.requests) == 0 && !c.between:
+	case unanswering:
 		c.mu.Unlock()
-		c.closeNow(reason) // in the middle of a header
+		c.closeNow(reason)
 		return
 	default:
 		c.ending = reason
@@ -87,13 +85,25 @@
 	defer c.mu.Unlock()
 	c.reading = false
 	if c.ending != "" && arrived {
-		c.ending = ""
+		c.overtaken, c.ending = c.ending, ""
 		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only if the connection is closed
 		c.keep()
 	}
 	return c.ending
 }
 
+// endOvertaken ends the connection after a read that has overtaken disconnect, if it has read only a further part of a header.
+func (c *guardedConn) endOvertaken() bool {
+	reason := c.overtaken
+	c.overtaken = ""
+	if reason == "" || c.failed != nil || c.between || c.firstRequest() != nil || !c.framer.InHeader() {
+		return false
+	}
+	c.failed = os.ErrDeadlineExceeded
+	c.closeNow(reason)
+	return true
+}
+
 // keep takes the removal of the client from the ledger back. The caller holds the lock.
 func (c *guardedConn) keep() {
 	if c.cause == "" { // otherwise the connection is closed or about to be
--- a/internal/httpserver/kept_test.go
+++ b/internal/httpserver/kept_test.go
@@ -29,11 +29,19 @@
 // budget or by a stop at that moment.
 func TestKeptConnectionsLoseNoRequest(t *testing.T) {
 	for seed := range keptSeeds() {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runKeptConnections(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runKeptConnections(t, seed, 0) })
 	}
 }
 
-func runKeptConnections(t *testing.T, seed uint64) {
+// Guards against the same for requests that are running when their connection is ended: they must not be canceled either.
+func TestKeptConnectionsCancelNoRequest(t *testing.T) {
+	for seed := range keptSeeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runKeptConnections(t, seed, 3*time.Millisecond) })
+	}
+}
+
+// runKeptConnections runs requests that take some time. One whose context ends is answered with 502.
+func runKeptConnections(t *testing.T, seed uint64, work time.Duration) {
 	const clients, idle = 60, 10 * time.Millisecond
 	var ran sync.Map
 	budgets := smallVM
@@ -41,6 +49,14 @@
 	budgets.Connections = clients - int(seed%4)*10 // from room for all to room for half
 	g := startGuarded(t, budgets, config.ClientLimits{IdleTimeout: idle}, func(w http.ResponseWriter, r *http.Request) {
 		ran.Store(r.URL.Path, true)
+		if work > 0 {
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusBadGateway)
+				return
+			case <-time.After(work):
+			}
+		}
 		readBody(w, r)
 	})
 	stop := make(chan struct{})
@@ -80,7 +96,11 @@
 				}
 				path := fmt.Sprintf("/%d/%d", client, i)
 				_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path) // likewise
-				if status(reader) == 0 {
+				got := status(reader)
+				if got == http.StatusBadGateway {
+					t.Errorf("request %s was canceled", path)
+				}
+				if got == 0 {
 					time.Sleep(2 * time.Millisecond) // for a request that is still being read
 					if _, ok := ran.Load(path); ok {
 						t.Errorf("request %s was run and not answered", path)
