httpserver: nothing is started behind a response that ends its connection

Callers that send ahead saw a request run and not answered: behind a response with Connection: close that the guard had announced (a kept client, or one without room), the look-ahead started the next request, and the connection was closed after the response.

Cause: the guard knew the requests that had been read when the handler began, not those that were read while it ran.

Change: it asks the look-ahead, which from then on starts nothing behind that response.

--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipglade/cowslipglade/intake"
+	"github.com/cowslipglade/cowslipglade/internal/pipeline"
 )
 
 // A ledger that takes a connection for unused can be overtaken by its client: a request may have arrived, or may just have
@@ -113,10 +114,11 @@
 }
 
 // announceClose tells the client if the response to the first request is the last of the connection.
-func (c *guardedConn) announceClose(header http.Header) {
+func (c *guardedConn) announceClose(header http.Header, r *http.Request) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing && len(c.requests) <= 1 {
+	last := c.closing && len(c.requests) <= 1
+	c.mu.Unlock()
+	if last && pipeline.Last(r) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -233,7 +233,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		conn.announceClose(w.Header())
+		conn.announceClose(w.Header(), r)
 		limits := g.config.Limits()
 		if request := conn.firstRequest(); request != nil {
 			if request.head.Uncertain {
--- a/internal/httpserver/overtaken_test.go
+++ b/internal/httpserver/overtaken_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,6 +201,31 @@
 
 const first = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
 
+// Guards against a request being started early behind a response that was announced as the last of its connection.
+func TestNothingIsStartedBehindTheLastResponse(t *testing.T) {
+	accepted := make(chan *pausedConn, 10)
+	g, entered, finish, started := earlyServer(t, func(l net.Listener) net.Listener { return pausedListener{l, accepted} })
+	client, reader := g.dial(get)
+	must.Eq(t, http.StatusOK, status(reader))
+	time.Sleep(20 * time.Millisecond)
+	conn, pause := <-accepted, newGate()
+	conn.after.Store(pause)
+	_, err := io.WriteString(client, first)
+	must.NoError(t, err)
+	<-pause.reached
+	g.guard.Sweep(time.Now().Add(time.Hour))
+	close(pause.open)
+	<-entered
+	_, err = io.WriteString(client, get)
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	close(finish)
+	must.Eq(t, http.StatusOK, status(reader))
+	if len(started) > 0 {
+		must.Eq(t, http.StatusOK, status(reader), must.Sprint("a request was started early and not answered"))
+	}
+}
+
 // Guards against a shutdown that drops requests that were started early.
 func TestShutdownAnswersRequestsStartedEarly(t *testing.T) {
 	g, entered, finish, started := earlyServer(t, nil)
@@ -215,3 +243,36 @@
 	}
 }
 
+// fullListener has no descriptors left.
+type fullListener struct {
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	default:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+}
+
+func (l *fullListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *fullListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a shutdown that outlasts its context, as net/http waits for up to a second between two attempts to accept.
+func TestShutdownEndsInTimeWithoutDescriptors(t *testing.T) {
+	s := New("test", &http.Server{Handler: http.NotFoundHandler(), ErrorLog: log.New(io.Discard, "", 0)})
+	go func() { _ = s.Serve(&fullListener{closed: make(chan struct{})}) }()
+	time.Sleep(1400 * time.Millisecond) // 5 ms to 640 ms have passed, the wait of a second has begun
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_ = s.Shutdown(ctx) // connections that were not accepted are not of interest
+	must.Less(t, 300*time.Millisecond, time.Since(start))
+}
