--- a/internal/httpserver/end.go
+++ b/internal/httpserver/end.go
@@ -18,11 +18,11 @@
 	ledger := c.guard.config.Ledger
 	c.mu.Lock()
 	turn := ledger.Turn(c.client)
-	unanswering := turn == intake.Closing || turn == intake.Receiving
+	unresponsive := turn == intake.Closing || turn == intake.Receiving
 	switch {
-	case ledger.Overtaken(c.client) || !unanswering && !c.reading:
+	case ledger.Overtaken(c.client) || !unresponsive && !c.reading:
 		c.keep()
-	case unanswering:
+	case unresponsive:
 		c.mu.Unlock()
 		c.closeNow(reason)
 		return
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -1,5 +1,6 @@
-// Package httpserver shuts HTTP servers down gracefully without waiting for connections that carried no request, and bounds
-// what their clients hold.
+// Package httpserver shuts HTTP servers down gracefully, without losing requests that have arrived and without waiting for
+// connections that carried none, and bounds what their clients hold. A connection is ended by the goroutine that reads it,
+// because nobody else knows whether a request has arrived.
 package httpserver
 
 import (
